--- a/sim/sim_front.cpp
+++ b/sim/sim_front.cpp
@@ -10,9 +10,9 @@
 
 SimFront::SimFront(SimNode& node, const NodeOptions& options, SimEngines& simEngines,
                    Invariants& invariants)
-    : engines(node, simEngines), cores(node, options, engines), node_(node),
+    : engines(node, simEngines), cores(node, options, &engines), node_(node),
       invariants_(invariants) {
-  engines.setSource(cores.engines);
+  engines.setSource(cores.engines());
   cores.addRunner(node, engines);
   cores.configuration.subscribe(kSettingsRegister, [this](const RegisterValue& value) {
     Result<SettingsTree> parsed = SettingsTree::parse(value.value);
--- a/src/assembly/control_cores.cpp
+++ b/src/assembly/control_cores.cpp
@@ -27,11 +27,12 @@
 }  // namespace
 
 StoreCores::StoreCores(CoreHost& host, const NodeOptions& options, DirectoryCore& directory,
-                       ConfigurationCore& configuration, EngineWatchCore& engines)
+                       ConfigurationCore& configuration, EngineSource& engines)
     : partitions(host.context(ServiceId::Partition), directory, configuration,
                  PartitionOptions{options.self.storeId, options.safeguards.partitions}),
-      rates(configuration), slots(host.context(ServiceId::SlotOwner), partitions, rates, engines,
-                                  directory, SlotOwnerOptions{options.safeguards.slots}),
+      rates(configuration, options.quotaWindow),
+      slots(host.context(ServiceId::SlotOwner), partitions, rates, engines, directory,
+            SlotOwnerOptions{options.safeguards.slots}),
       lending(host.context(ServiceId::Lending), partitions, rates, engines, directory),
       batches(host.context(ServiceId::BatchOwner), partitions, configuration, directory,
               batchOptions(options)) {
@@ -43,20 +44,35 @@
   host.attach(ServiceId::BatchOwner, batches);
 }
 
-ControlCores::ControlCores(CoreHost& host, const NodeOptions& options)
+ControlCores::ControlCores(CoreHost& host, const NodeOptions& options, ListingSource* listing)
     : directory(host.context(ServiceId::Directory), options.self, options.seeds),
       registers(host.context(ServiceId::Register), acceptorOptions(options)),
       configuration(host.context(ServiceId::Configuration), &directory, registers,
-                    provingOptions(options)),
-      engines(host.context(ServiceId::EngineWatch), directory, directory, configuration, nullptr) {
+                    provingOptions(options)) {
   registers.setConfigurationSource(configuration);
   host.attach(ServiceId::Directory, directory);
   host.attach(ServiceId::Register, registers);
   host.attach(ServiceId::Configuration, configuration);
-  host.attach(ServiceId::EngineWatch, engines);
+  if (listing != nullptr) {
+    const bool reads = options.self.role == NodeRole::Register;
+    engineList = std::make_unique<EngineListCore>(host.context(ServiceId::EngineList), directory,
+                                                  reads ? listing : nullptr);
+    host.attach(ServiceId::EngineList, *engineList);
+  } else {
+    engineWatch = std::make_unique<EngineWatchCore>(host.context(ServiceId::EngineWatch), directory,
+                                                    directory, configuration, nullptr);
+    host.attach(ServiceId::EngineWatch, *engineWatch);
+  }
   if (options.self.role == NodeRole::Store) {
-    store = std::make_unique<StoreCores>(host, options, directory, configuration, engines);
+    store = std::make_unique<StoreCores>(host, options, directory, configuration, engines());
+  }
+}
+
+EngineSource& ControlCores::engines() {
+  if (engineList) {
+    return *engineList;
   }
+  return *engineWatch;
 }
 
 }  // namespace shedshed
--- a/src/assembly/control_cores.h
+++ b/src/assembly/control_cores.h
@@ -4,6 +4,7 @@
 
 #include "assembly/node_options.h"
 #include "batch/batch_owner_core.h"
+#include "engines/engine_list_core.h"
 #include "engines/engine_watch_core.h"
 #include "kernel/core_host.h"
 #include "membership/directory_core.h"
@@ -21,7 +22,7 @@
 /// The cores that a store node has and a register node has not.
 struct StoreCores {
   StoreCores(CoreHost& host, const NodeOptions& options, DirectoryCore& directory,
-             ConfigurationCore& configuration, EngineWatchCore& engines);
+             ConfigurationCore& configuration, EngineSource& engines);
 
   PartitionCore partitions;
   SettingsPoolRates rates;
@@ -32,13 +33,18 @@
 
 /// Builds the cores and attaches them to the host, which must outlive them.
 struct ControlCores {
-  ControlCores(CoreHost& host, const NodeOptions& options);
+  /// With @p listing the engines are those of a listing source, which only register nodes read;
+  /// without it they are those of the `engines` register, watched by the data nodes.
+  ControlCores(CoreHost& host, const NodeOptions& options, ListingSource* listing = nullptr);
+
+  EngineSource& engines();
 
   DirectoryCore directory;
   RegisterCore registers;
   ConfigurationCore configuration;
-  EngineWatchCore engines;
-  std::unique_ptr<StoreCores> store;  ///< Null on register nodes.
+  std::unique_ptr<EngineWatchCore> engineWatch;  ///< Null with a listing source.
+  std::unique_ptr<EngineListCore> engineList;    ///< Null without one.
+  std::unique_ptr<StoreCores> store;             ///< Null on register nodes.
 };
 
 }  // namespace shedshed
--- a/src/assembly/data_cores.cpp
+++ b/src/assembly/data_cores.cpp
@@ -18,32 +18,62 @@
 SlotClientOptions slotOptions(const NodeOptions& options) {
   SlotClientOptions slots;
   slots.safeguards = options.safeguards.slots;
+  slots.storeDeadline = options.storeDeadline;
   return slots;
 }
 
+BatchClientOptions batchOptions(const NodeOptions& options) {
+  BatchClientOptions batches;
+  batches.deadline = options.batches.requestDeadline;
+  return batches;
+}
+
+BatchRunnerOptions runnerOptions(const NodeOptions& options) {
+  BatchRunnerOptions runner;
+  runner.retryPause = options.batches.retryPause;
+  runner.itemsInAll = options.batches.itemsInAll;
+  runner.maxRuns = options.batches.mostRuns;
+  return runner;
+}
+
 }  // namespace
 
-DataCores::DataCores(CoreHost& host, const NodeOptions& options, EngineProbe& probe)
+DataCores::DataCores(CoreHost& host, const NodeOptions& options, EngineProbe* probe)
     : directory(host.context(ServiceId::Directory), options.self, options.seeds),
       registers(host.context(ServiceId::Register), proposerOptions(options)),
       configuration(host.context(ServiceId::Configuration), &directory, registers,
                     pullingOptions(options)),
-      engines(host.context(ServiceId::EngineWatch), directory, directory, configuration, &probe),
       locator(directory, configuration),
       slots(host.context(ServiceId::SlotClient), locator, slotOptions(options)),
-      batches(host.context(ServiceId::BatchClient), locator) {
+      batches(host.context(ServiceId::BatchClient), locator, batchOptions(options)),
+      options_(options) {
   registers.setConfigurationSource(configuration);
   host.attach(ServiceId::Directory, directory);
   host.attach(ServiceId::Register, registers);
   host.attach(ServiceId::Configuration, configuration);
-  host.attach(ServiceId::EngineWatch, engines);
+  if (probe != nullptr) {
+    engineWatch = std::make_unique<EngineWatchCore>(host.context(ServiceId::EngineWatch), directory,
+                                                    directory, configuration, probe);
+    host.attach(ServiceId::EngineWatch, *engineWatch);
+  } else {
+    engineList =
+        std::make_unique<EngineListCore>(host.context(ServiceId::EngineList), directory, nullptr);
+    host.attach(ServiceId::EngineList, *engineList);
+  }
   host.attach(ServiceId::SlotClient, slots);
   host.attach(ServiceId::BatchClient, batches);
 }
 
+EngineSource& DataCores::engines() {
+  if (engineList) {
+    return *engineList;
+  }
+  return *engineWatch;
+}
+
 void DataCores::addRunner(CoreHost& host, EngineRunner& engineRunner) {
   runner = std::make_unique<BatchRunnerCore>(host.context(ServiceId::BatchRunner), locator, slots,
-                                             engineRunner, configuration);
+                                             engineRunner, configuration, runnerOptions(options_));
   host.attach(ServiceId::BatchRunner, *runner);
 }
 
--- a/src/assembly/data_cores.h
+++ b/src/assembly/data_cores.h
@@ -5,6 +5,7 @@
 #include "assembly/node_options.h"
 #include "batch/batch_client_core.h"
 #include "batch/batch_runner_core.h"
+#include "engines/engine_list_core.h"
 #include "engines/engine_watch_core.h"
 #include "kernel/core_host.h"
 #include "membership/directory_core.h"
@@ -19,8 +20,11 @@
 
 /// Builds the cores and attaches them to the host, which must outlive them.
 struct DataCores {
-  /// @p probe must outlive the cores.
-  DataCores(CoreHost& host, const NodeOptions& options, EngineProbe& probe);
+  /// Without a @p probe the engines are those of the listing that the register nodes read; else
+  /// those of the `engines` register, watched with the probe, which must outlive the cores.
+  DataCores(CoreHost& host, const NodeOptions& options, EngineProbe* probe);
+
+  EngineSource& engines();
 
   /// Adds the batch runner. Called once, before the host starts; @p engines must outlive the cores.
   void addRunner(CoreHost& host, EngineRunner& engineRunner);
@@ -28,11 +32,15 @@
   DirectoryCore directory;
   RegisterCore registers;
   ConfigurationCore configuration;
-  EngineWatchCore engines;
+  std::unique_ptr<EngineWatchCore> engineWatch;  ///< Null without a probe.
+  std::unique_ptr<EngineListCore> engineList;    ///< Null with one.
   OwnerLocator locator;
   SlotClientCore slots;
   BatchClientCore batches;
   std::unique_ptr<BatchRunnerCore> runner;
+
+ private:
+  const NodeOptions options_;
 };
 
 }  // namespace shedshed
--- a/src/assembly/node_options.h
+++ b/src/assembly/node_options.h
@@ -7,6 +7,8 @@
 #include "membership/directory_core.h"
 #include "partition/partition_types.h"
 #include "register/register_options.h"
+#include "slots/pool_rates.h"
+#include "slots/slot_client_core.h"
 #include "slots/slot_safeguards.h"
 
 #include <string>
@@ -23,11 +25,22 @@
   BatchSafeguards batches;
 };
 
+/// Times and bounds of batches that depend on where the fleet runs.
+struct BatchOptions {
+  Duration requestDeadline = std::chrono::seconds(10);  ///< Of a caller's batch call.
+  Duration retryPause = std::chrono::seconds(2);        ///< See `BatchRunnerOptions`.
+  std::uint32_t itemsInAll = 64;                        ///< See `BatchRunnerOptions`.
+  std::uint32_t mostRuns = 3;                           ///< See `BatchRunnerOptions`.
+};
+
 /// Identity and surroundings of a node.
 struct NodeOptions {
   NodeInfo self;              ///< Id, role, zone and addresses.
   std::vector<NodeId> seeds;  ///< Internal addresses of other processes.
   Safeguards safeguards;
+  Duration quotaWindow = kDefaultQuotaWindow;  ///< Time over which quotas are counted.
+  BatchOptions batches;
+  Duration storeDeadline = kStoreDeadline;  ///< See `SlotClientOptions`.
 };
 
 }  // namespace shedshed
--- a/src/batch/batch_client.h
+++ b/src/batch/batch_client.h
@@ -22,12 +22,17 @@
   Unknown = 6,    ///< Started by a runner that was lost; may not be repeated.
 };
 
+/// Most items of a batch whose items have names: the commit record carries the names.
+inline constexpr std::size_t kMaxNamedItems = 1000;
+
 /// A batch as handed in.
 struct BatchSubmission {
   std::string tenant;
   std::string clientKey;           ///< The caller's own key; a resend returns the same batch.
   bool repeatableItems = false;    ///< Items may be run again after a lost runner.
-  std::vector<std::string> items;  ///< JSON bodies, in order.
+  std::vector<std::string> items;  ///< Bodies, in order.
+  /// Names of the items, in the same order; empty if they have none. At most `kMaxNamedItems`.
+  std::vector<std::string> names;
 };
 
 /// Summary of a batch.
@@ -53,15 +58,17 @@
   ItemState state = ItemState::Pending;
   std::string body;       ///< The engine's answer, for `Done`.
   std::string errorType;  ///< Stable error type, for `Failed` and `Unknown`.
-  MSGPACK_DEFINE(position, state, body, errorType);
+  std::string name;       ///< Empty if the batch's items have no names.
+  MSGPACK_DEFINE(position, state, body, errorType, name);
 };
 
 /// Results from a position on, without gaps: the list ends before the first unfinished item.
 struct ResultPage {
   std::vector<ItemResult> results;
-  std::uint64_t next = 0;  ///< Position to ask for next.
-  bool complete = false;   ///< All items have a final result and this page reached the end.
-  MSGPACK_DEFINE(results, next, complete);
+  std::uint64_t next = 0;       ///< Position to ask for next.
+  bool complete = false;        ///< All items have a final result and this page reached the end.
+  std::uint64_t itemCount = 0;  ///< Of the batch.
+  MSGPACK_DEFINE(results, next, complete, itemCount);
 };
 
 /// An unfinished item's body.
@@ -88,6 +95,9 @@
   virtual void unfinished(const std::string& tenant, const std::string& batchId, std::uint64_t from,
                           std::uint32_t limit,
                           std::function<void(Result<std::vector<UnfinishedItem>>)> done) = 0;
+  /// Reads the body of the unfinished item named @p name. `NotFound` if there is none.
+  virtual void itemBody(const std::string& tenant, const std::string& batchId,
+                        const std::string& name, std::function<void(Result<std::string>)> done) = 0;
   virtual void cancel(const std::string& tenant, const std::string& batchId,
                       std::function<void(Result<BatchStatus>)> done) = 0;
 };
--- a/src/batch/batch_client_core.cpp
+++ b/src/batch/batch_client_core.cpp
@@ -119,6 +119,12 @@
     done(makeError(ErrorCode::InvalidArgument, "items: must not be empty"));
     return;
   }
+  const std::size_t names = submission.names.size();
+  if (names != 0 && (names != submission.items.size() || names > kMaxNamedItems)) {
+    done(makeError(ErrorCode::InvalidArgument,
+                   "names: one for each item, at most " + std::to_string(kMaxNamedItems)));
+    return;
+  }
   Upload upload;
   std::string hashes;
   appendItemHashes(hashes, submission.items);
@@ -141,8 +147,12 @@
   content.batchId = batchId;
   content.from = from;
   content.limit = limit;
+  query(std::move(content), std::move(done));
+}
+
+void BatchClientCore::query(BatchQuery content, std::function<void(Result<BatchReply>)> done) {
   Request request;
-  request.batchId = batchId;
+  request.batchId = content.batchId;
   request.content = std::move(content);
   request.done = std::move(done);
   begin(std::move(request));
@@ -184,6 +194,28 @@
         });
 }
 
+void BatchClientCore::itemBody(const std::string& tenant, const std::string& batchId,
+                               const std::string& name,
+                               std::function<void(Result<std::string>)> done) {
+  BatchQuery content;
+  content.kind = static_cast<std::uint8_t>(BatchQueryKind::ItemBody);
+  content.tenant = tenant;
+  content.batchId = batchId;
+  content.name = name;
+  query(std::move(content), [done = std::move(done)](Result<BatchReply> reply) {
+    if (!reply) {
+      done(std::move(reply).error());
+      return;
+    }
+    std::vector<UnfinishedItem>& items = reply.value().unfinished;
+    if (items.empty()) {
+      done(makeError(ErrorCode::NotFound, "no unfinished item of that name"));
+      return;
+    }
+    done(std::move(items.front().body));
+  });
+}
+
 void BatchClientCore::begin(Request request) {
   const std::uint64_t number = nextNumber_++;
   request.lastProgress = context_.now();
@@ -222,6 +254,11 @@
   chunk.last = upload.next + 1 == upload.chunks.size();
   chunk.items.assign(begin + static_cast<std::ptrdiff_t>(range.first),
                      begin + static_cast<std::ptrdiff_t>(range.end));
+  if (!upload.submission.names.empty()) {
+    const auto names = upload.submission.names.begin();
+    chunk.names.assign(names + static_cast<std::ptrdiff_t>(range.first),
+                       names + static_cast<std::ptrdiff_t>(range.end));
+  }
   if (chunk.last) {
     upload.commitSent = true;
     upload.openCommits.insert(chunk.copy);
--- a/src/batch/batch_client_core.h
+++ b/src/batch/batch_client_core.h
@@ -47,6 +47,8 @@
   void unfinished(const std::string& tenant, const std::string& batchId, std::uint64_t from,
                   std::uint32_t limit,
                   std::function<void(Result<std::vector<UnfinishedItem>>)> done) override;
+  void itemBody(const std::string& tenant, const std::string& batchId, const std::string& name,
+                std::function<void(Result<std::string>)> done) override;
   void cancel(const std::string& tenant, const std::string& batchId,
               std::function<void(Result<BatchStatus>)> done) override;
 
@@ -78,6 +80,7 @@
 
   void query(BatchQueryKind kind, const std::string& tenant, const std::string& batchId,
              std::uint64_t from, std::uint32_t limit, std::function<void(Result<BatchReply>)> done);
+  void query(BatchQuery content, std::function<void(Result<BatchReply>)> done);
   void begin(Request request);
   void sendRequest(std::uint64_t number, Request& request);
   void sendChunk(std::uint64_t number, Request& request, Upload& upload);
--- a/src/batch/batch_messages.h
+++ b/src/batch/batch_messages.h
@@ -34,10 +34,18 @@
   bool last = false;
   std::uint32_t copy = 0;  ///< Tells the copies of one request apart; echoed.
   std::vector<std::string> items;
-  MSGPACK_DEFINE(request, batchId, tenant, repeatable, itemCount, digest, chunk, last, copy, items);
+  std::vector<std::string> names;  ///< Of the items of this chunk, or empty.
+  MSGPACK_DEFINE(request, batchId, tenant, repeatable, itemCount, digest, chunk, last, copy, items,
+                 names);
 };
 
-enum class BatchQueryKind : std::uint8_t { Status = 1, Results = 2, Unfinished = 3, Cancel = 4 };
+enum class BatchQueryKind : std::uint8_t {
+  Status = 1,
+  Results = 2,
+  Unfinished = 3,
+  Cancel = 4,
+  ItemBody = 5,  ///< Answered as `Unfinished` with at most one item.
+};
 
 /// A read or a cancel.
 struct BatchQuery {
@@ -49,7 +57,8 @@
   std::string batchId;
   std::uint64_t from = 0;
   std::uint32_t limit = 0;
-  MSGPACK_DEFINE(request, kind, tenant, batchId, from, limit);
+  std::string name;  ///< With `ItemBody`.
+  MSGPACK_DEFINE(request, kind, tenant, batchId, from, limit, name);
 };
 
 /// Answer to `SubmitChunk` and `BatchQuery`.
--- a/src/batch/batch_owner_core.h
+++ b/src/batch/batch_owner_core.h
@@ -154,6 +154,7 @@
   void answerQuery(const NodeId& from, const BatchQuery& query);
   BatchState* visibleBatch(const BatchQuery& query, BatchReply& reply);
   ResultPage resultPage(const BatchState& batch, std::uint64_t from, std::uint32_t limit) const;
+  void answerItemBody(const BatchState& batch, const BatchQuery& query, BatchReply& answer) const;
   bool readResult(const BatchState& batch, std::uint64_t position, ItemResult& result) const;
   std::vector<UnfinishedItem> unfinishedItems(const BatchState& batch, std::uint64_t from,
                                               std::uint32_t limit) const;
--- a/src/batch/batch_owner_query.cpp
+++ b/src/batch/batch_owner_query.cpp
@@ -85,6 +85,9 @@
   case BatchQueryKind::Unfinished:
     answer.unfinished = unfinishedItems(*batch, query.from, query.limit);
     break;
+  case BatchQueryKind::ItemBody:
+    answerItemBody(*batch, query, answer);
+    break;
   case BatchQueryKind::Cancel:
     cancelBatch(query.batchId, [this, from, query] {
       BatchReply done;
@@ -102,12 +105,31 @@
   reply(from, std::move(answer));
 }
 
+void BatchOwnerCore::answerItemBody(const BatchState& batch, const BatchQuery& query,
+                                    BatchReply& answer) const {
+  const std::vector<std::string>& names = batch.meta().names;
+  const auto found = std::find(names.begin(), names.end(), query.name);
+  if (found != names.end()) {
+    const auto position = static_cast<std::uint64_t>(found - names.begin());
+    answer.unfinished = unfinishedItems(batch, position, 1);
+  }
+  const bool same =
+      !answer.unfinished.empty() && names[answer.unfinished.front().position] == query.name;
+  if (!same) {
+    answer.unfinished.clear();
+    answer.code = wireCode(ErrorCode::NotFound);
+  }
+}
+
 bool BatchOwnerCore::readResult(const BatchState& batch, std::uint64_t position,
                                 ItemResult& result) const {
   if (!batch.finished() && !isFinal(batch.state(position))) {
     return false;
   }
   result.position = position;
+  if (!batch.meta().names.empty()) {
+    result.name = batch.meta().names[position];
+  }
   result.state = ItemState::Cancelled;
   const PartitionId partition = partitionOf(TableKind::Batches, batch.id());
   const auto row = store_.get(partition, itemKey(batch.id(), position));
@@ -149,6 +171,7 @@
     page.results.push_back(std::move(result));
     ++page.next;
   }
+  page.itemCount = batch.meta().itemCount;
   page.complete = page.next == batch.meta().itemCount && (batch.finished() || batch.allFinal());
   return page;
 }
--- a/src/batch/batch_owner_submit.cpp
+++ b/src/batch/batch_owner_submit.cpp
@@ -12,6 +12,10 @@
   return bytes;
 }
 
+void appendNames(BatchMeta& meta, const SubmitChunk& chunk) {
+  meta.names.insert(meta.names.end(), chunk.names.begin(), chunk.names.end());
+}
+
 bool sameContent(const BatchMeta& meta, const SubmitChunk& chunk) {
   return meta.tenant == chunk.tenant && meta.repeatable == chunk.repeatable &&
          meta.itemCount == chunk.itemCount && meta.digest == chunk.digest;
@@ -132,6 +136,7 @@
   const PartitionId partition = partitionOf(TableKind::Batches, chunk.batchId);
   const std::uint64_t index = chunk.chunk;
   appendItemHashes(upload.hashes, chunk.items);
+  appendNames(upload.meta, chunk);
   upload.meta.chunkPositions.push_back(upload.stored);
   upload.meta.bodyBytes += bytesOf(chunk.items);
   upload.stored += chunk.items.size();
@@ -170,10 +175,14 @@
 void BatchOwnerCore::commitChunk(const NodeId& from, SubmitChunk chunk, Owned& owned,
                                  Upload& upload) {
   appendItemHashes(upload.hashes, chunk.items);
+  appendNames(upload.meta, chunk);
   upload.meta.chunkPositions.push_back(upload.stored);
   upload.meta.bodyBytes += bytesOf(chunk.items);
   const std::uint64_t items = upload.stored + chunk.items.size();
-  if (items != chunk.itemCount || items == 0 || itemsDigest(upload.hashes) != chunk.digest) {
+  const bool named =
+      upload.meta.names.empty() || (upload.meta.names.size() == items && items <= kMaxNamedItems);
+  if (items != chunk.itemCount || items == 0 || !named ||
+      itemsDigest(upload.hashes) != chunk.digest) {
     refuse(from, {chunk.request, chunk.copy}, ErrorCode::InvalidArgument,
            "items do not match the digest");
     abandonUpload(chunk.batchId, owned);
--- a/src/batch/batch_records.h
+++ b/src/batch/batch_records.h
@@ -24,7 +24,8 @@
   std::string digest;                         ///< `itemsDigest` of the whole submission.
   std::vector<std::uint64_t> chunkPositions;  ///< Position of the first item of each chunk.
   std::uint64_t bodyBytes = 0;
-  MSGPACK_DEFINE(tenant, repeatable, itemCount, digest, chunkPositions, bodyBytes);
+  std::vector<std::string> names;  ///< Of all items in order, or empty.
+  MSGPACK_DEFINE(tenant, repeatable, itemCount, digest, chunkPositions, bodyBytes, names);
 };
 
 /// Bodies of consecutive items.
--- a/src/batch/batch_runner_core.cpp
+++ b/src/batch/batch_runner_core.cpp
@@ -1,8 +1,6 @@
 #include "batch/batch_runner_core.h"
 
 #include <algorithm>
-#include <cjson/cJSON.h>
-#include <memory>
 
 namespace shedshed {
 namespace {
@@ -18,14 +16,6 @@
 /// Pages of waiting items that a run keeps at most.
 constexpr std::size_t kMostQueuedPages = 4;
 
-/// Returns the model that @p body names; empty if the body is not a valid request.
-std::string modelOf(const std::string& body) {
-  const std::unique_ptr<cJSON, decltype(&cJSON_Delete)> json(
-      cJSON_ParseWithLength(body.data(), body.size()), &cJSON_Delete);
-  const cJSON* model = cJSON_GetObjectItemCaseSensitive(json.get(), "model");
-  return cJSON_IsString(model) ? std::string(model->valuestring) : std::string();
-}
-
 }  // namespace
 
 BatchRunnerCore::BatchRunnerCore(CoreContext& context, OwnerLocator& locator, SlotClient& slots,
@@ -216,7 +206,7 @@
   run->fetchFrom = page.next;
   for (const UnfinishedItem& item : page.items) {
     if (!isKnown(*run, item.position)) {
-      run->queue.push_back({item.position, modelOf(item.body), item.body, {}});
+      run->queue.push_back({item.position, engines_.modelOf(item.body), item.body, {}});
     }
   }
   if (page.next == 0) {
--- a/src/batch/batch_runner_items.cpp
+++ b/src/batch/batch_runner_items.cpp
@@ -216,6 +216,11 @@
                    "-" + std::to_string(item.attempt);
   call.model = item.model;
   call.body = std::move(item.body);
+  call.tenant = run.assignment.tenant;
+  call.isWanted = [this, key] {
+    const Run* current = find(key);
+    return current != nullptr && mayStart(*current);
+  };
   const std::uint64_t attempt = item.attempt;
   engines_.run(std::move(call), [this, key, position, attempt](Result<EngineAnswer> answer) {
     onAnswer(key, position, attempt, std::move(answer));
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -63,7 +63,7 @@
 
 NodeStatus ControlProcess::status() {
   NodeStatus status = describeNode(settings_, cores_.configuration, cores_.directory);
-  status.engines = cores_.engines.table();
+  status.engines = cores_.engines().table();
   if (draining_) {
     status.ready = makeError(ErrorCode::Draining, "this node is about to end");
   }
--- a/src/data/data_process.cpp
+++ b/src/data/data_process.cpp
@@ -34,9 +34,9 @@
 DataProcess::DataProcess(const ProcessSettings& settings, const ProcessKeys& keys)
     : settings_(settings), process_(settings, keys, nullptr), executor_(process_.runtime()),
       servingMetrics_(process_.metrics()), probe_(threads_, executor_),
-      cores_(process_.runtime(), nodeOptions(settings), probe_), settingsTree_(nullptr),
+      cores_(process_.runtime(), nodeOptions(settings), &probe_), settingsTree_(nullptr),
       journal_(&monotonicNow),
-      engineClient_(threads_, executor_, cores_.engines, router_, servingMetrics_),
+      engineClient_(threads_, executor_, cores_.engines(), router_, servingMetrics_),
       engineRunner_(threads_, executor_, engineClient_, settingsTree_),
       servingServices_{threads_,
                        executor_,
@@ -72,7 +72,7 @@
 
 NodeStatus DataProcess::status() {
   NodeStatus status = describeNode(settings_, cores_.configuration, cores_.directory);
-  status.engines = cores_.engines.table();
+  status.engines = cores_.engines().table();
   status.ready = checkReady(servingServices_);
   return status;
 }
--- a/src/engines/engine_runner.h
+++ b/src/engines/engine_runner.h
@@ -13,7 +13,10 @@
 struct EngineCall {
   std::string requestId;  ///< Sent to the engine, which must echo it.
   std::string model;
-  std::string body;  ///< JSON of a chat completion request; `stream` is forced off.
+  std::string body;    ///< As handed in: JSON of a chat completion, or an encoded opaque call.
+  std::string tenant;  ///< Whose batch it is.
+  /// False once the item must not reach an engine any more; called on the core thread.
+  std::function<bool()> isWanted = [] { return true; };
 };
 
 /// A whole answer.
@@ -30,6 +33,10 @@
   /// Routes and runs @p call. @p done is called once, on the core thread. An error's `ran` tells
   /// whether any byte has gone to an engine: `No`, or `Unknown`.
   virtual void run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) = 0;
+
+  /// Returns the model or service that an item with @p body asks for; empty if no engine can ever
+  /// serve it. Here: the member `model` of a JSON object.
+  virtual std::string modelOf(const std::string& body) const;
 };
 
 }  // namespace shedshed
--- a/src/engines/engine_table.h
+++ b/src/engines/engine_table.h
@@ -21,13 +21,14 @@
 
 /// One engine.
 struct EngineInfo {
-  std::string id;       ///< Stable name in the platform's listing.
-  std::string address;  ///< "a.b.c.d:port" of its HTTP.
-  std::string model;
+  std::string id;                ///< Stable name in the platform's listing.
+  std::string address;           ///< "a.b.c.d:port" of its HTTP.
+  std::string model;             ///< The model or service that it serves.
   std::uint32_t maxRunning = 0;  ///< Requests that it runs at once.
   std::uint32_t running = 0;     ///< Last value it reported, all fronts together.
   EngineState state = EngineState::Unknown;
-  MSGPACK_DEFINE(id, address, model, maxRunning, running, state);
+  std::string zone;  ///< Empty if it is not known.
+  MSGPACK_DEFINE(id, address, model, maxRunning, running, state, zone);
 };
 
 /// An immutable list of all listed engines, sorted by id.
--- /dev/null
+++ b/src/gateway/call_filters.cpp
@@ -0,0 +1,174 @@
+#include "gateway/call_filters.h"
+
+#include "kernel/rendezvous.h"
+#include "serving/await_core.h"
+#include "slots/pool_rates.h"
+#include "slots/slot_owner_core.h"
+
+#include <algorithm>
+
+namespace shedshed {
+namespace {
+
+/// Share of a route's objective that a call waits for a store before its fail mode decides.
+constexpr int kObjectiveParts = 5;
+constexpr Duration kShortestStoreWait = std::chrono::milliseconds(40);
+constexpr Duration kLongestStoreWait = std::chrono::milliseconds(300);
+
+/// Rows of quotas would expire late by the owner's margin, which would lower the rate.
+Duration quotaTimeToLive(Duration window) {
+  return std::max(window - kExpiryMargin, Duration(std::chrono::milliseconds(100)));
+}
+
+/// A number from 0 to below 1 that follows from the id.
+double pointOf(const std::string& id) {
+  constexpr double kSteps = 1U << 20U;
+  return static_cast<double>(hash64(id) % (1U << 20U)) / kSteps;
+}
+
+}  // namespace
+
+const std::string& chooseService(const RouteSettings& route, double point) {
+  double total = 0;
+  for (const WeightedService& share : route.services) {
+    total += share.weight;
+  }
+  double rest = point * total;
+  for (const WeightedService& share : route.services) {
+    rest -= share.weight;
+    if (rest < 0) {
+      return share.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+Status checkGatewayReady(const GatewayServices& services) {
+  if (services.draining) {
+    return makeError(ErrorCode::Draining, "this node takes no new calls");
+  }
+  const auto settings = services.settings.read();
+  if (settings == nullptr || settings->routes().empty()) {
+    return makeError(ErrorCode::NotReady, "no configuration with routes has been proved yet");
+  }
+  if (services.core.now() >= services.configuration.freshUntil()) {
+    return makeError(ErrorCode::NotReady, "the configuration is not proved to be current");
+  }
+  if (services.engines.table()->engines.empty()) {
+    return makeError(ErrorCode::NotReady, "no engine is known");
+  }
+  return okStatus();
+}
+
+Result<GatewayStep> SettingsInForceFilter::apply(GatewayCall& call, boost::asio::yield_context) {
+  call.settings = services_.settings.read();
+  if (call.settings == nullptr || services_.core.now() >= services_.configuration.freshUntil()) {
+    return makeError(ErrorCode::NotReady, "the configuration is not proved to be current");
+  }
+  return GatewayStep::Continue;
+}
+
+Result<GatewayStep> RouteFilter::apply(GatewayCall& call, boost::asio::yield_context) {
+  const std::string_view target = call.call.target;
+  call.route = call.settings->routes().match(
+      call.call.host, target.substr(0, std::min(target.find('?'), target.size())));
+  if (call.route == nullptr) {
+    return makeError(ErrorCode::NotFound, "no route for this host and path");
+  }
+  const RouteSettings& route = *call.route;
+  OpaqueCall& opaque = call.call;
+  opaque.service = chooseService(route, pointOf(opaque.requestId));
+  opaque.resumable = route.kind == RouteKind::Streaming && route.resumable;
+  opaque.idempotent = route.kind == RouteKind::Safe || opaque.resumable;
+  opaque.maxAttempts = std::max(route.maxAttempts, 1U);
+  opaque.deadline = std::min(opaque.deadline, call.arrived + route.timeout);
+  (void)services_;
+  return GatewayStep::Continue;
+}
+
+Result<GatewayStep> TenantFilter::apply(GatewayCall& call, boost::asio::yield_context) {
+  if (call.route->isPublic || !call.settings->hasTenants()) {
+    return GatewayStep::Continue;
+  }
+  const auto tenant = call.key.empty() ? std::nullopt : call.settings->tenantOfKey(call.key);
+  if (!tenant) {
+    return makeError(ErrorCode::Unauthenticated, "the key is missing, unknown or withdrawn");
+  }
+  call.call.tenant = *tenant;
+  return GatewayStep::Continue;
+}
+
+SlotRequest TenantSlotFilter::slotRequest(const GatewayCall& call) const {
+  const std::string& tenant = call.call.tenant;
+  const EffectiveSettings settings = call.settings->effective(tenant, call.route->name);
+  SlotRequest request;
+  request.requestId = call.call.requestId;
+  request.storeDeadline = std::clamp(Duration(call.route->objective / kObjectiveParts),
+                                     kShortestStoreWait, kLongestStoreWait);
+  SlotLimit limit;
+  limit.failOpen = settings.failMode == FailMode::Open;
+  limit.block = settings.block;
+  limit.poll = settings.poll;
+  limit.timeToLive = settings.liveSlotTtl;
+  limit.pool = tenant.empty() ? PoolName{kServiceLimiter, call.call.service}
+                              : PoolName{kTenantLimiter, tenant};
+  request.limits.push_back(limit);
+  if (!tenant.empty() && call.settings->hasQuota(tenant)) {
+    limit.pool = {kQuotaLimiter, tenant};
+    limit.timeToLive = quotaTimeToLive(services_.quotaWindow);
+    limit.untilExpiry = true;
+    request.limits.push_back(limit);
+  }
+  return request;
+}
+
+bool TenantSlotFilter::mayRunWithoutQuota(const GatewayCall& call) {
+  const EffectiveSettings settings = call.settings->effective(call.call.tenant, call.route->name);
+  const auto nodes = services_.directory.table();
+  const auto fronts =
+      std::count_if(nodes->nodes.begin(), nodes->nodes.end(),
+                    [](const NodeInfo& node) { return node.role == NodeRole::Data; });
+  return shares_.take(call.call.tenant, settings.perSecond, settings.burst,
+                      static_cast<std::size_t>(fronts), services_.core.now());
+}
+
+Result<GatewayStep> TenantSlotFilter::apply(GatewayCall& call, boost::asio::yield_context yield) {
+  const auto acquire = [this, request = slotRequest(call)](auto done) {
+    services_.slots.acquire(request, done);
+  };
+  const auto grant = awaitCore<Result<SlotGrant>>(services_.core, yield, acquire);
+  if (!grant) {
+    return grant.error();
+  }
+  call.slots = SlotLease(services_.core, services_.slots, grant.value().grantId);
+  for (const SlotGrant::Slot& slot : grant.value().slots) {
+    services_.journal->note(call.call.requestId, "slot",
+                            slot.pool.limiter + " " + std::to_string(slot.number));
+    if (slot.withoutSlot && slot.pool.limiter == kQuotaLimiter && !mayRunWithoutQuota(call)) {
+      call.slots.release();
+      return makeError(ErrorCode::PoolFull, "this node's share of the quota is used up");
+    }
+  }
+  if (call.abort.aborted()) {
+    call.slots.release();
+    return makeError(ErrorCode::Cancelled, "the caller has gone");
+  }
+  return GatewayStep::Continue;
+}
+
+Result<GatewayStep> OpaqueForwardFilter::apply(GatewayCall& call,
+                                               boost::asio::yield_context yield) {
+  ForwardedCall forwarded{call.call, call.sink, call.abort, call.strand};
+  Result<ForwardedAnswer> answer = services_.forwarder.run(forwarded, yield);
+  call.slots.release();
+  if (!answer) {
+    return answer.error();
+  }
+  call.streamed = answer.value().streamed;
+  call.answer.status = answer.value().head.status;
+  call.answer.headers = std::move(answer.value().head.headers);
+  call.answer.body = std::move(answer.value().body);
+  return GatewayStep::Answered;
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/caller_session.h
@@ -0,0 +1,94 @@
+/// @file
+/// One caller's connection to the gateway.
+#pragma once
+
+#include "gateway/gateway_call.h"
+#include "gateway/gateway_services.h"
+#include "serving/caller_watch.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace shedshed {
+
+/// What all connections of a gateway share.
+struct GatewayShared {
+  GatewayServices& services;
+  std::vector<std::unique_ptr<GatewayFilter>> filters;  ///< In the order of their use.
+  std::size_t activeCalls = 0;
+};
+
+/// Writes answers to a caller. Every write is bounded in time.
+class SessionWriter : public StreamSink {
+ public:
+  SessionWriter(boost::asio::ip::tcp::socket& socket, const ServingStrand& strand)
+      : socket_(socket), strand_(strand) {}
+
+  void onHead(const EngineHead& head) override;
+  Status onBytes(std::string_view bytes, boost::asio::yield_context yield) override;
+
+  /// Writes a whole answer. False if the caller can't be reached.
+  bool writeAnswer(const GatewayAnswer& answer, bool keepAlive, boost::asio::yield_context yield);
+
+  /// Ends a whole stream with the last chunk.
+  bool endStream(boost::asio::yield_context yield);
+
+  /// Asks for a body that the caller holds back.
+  bool writeContinue(boost::asio::yield_context yield);
+
+  /// True once bytes of a stream have been written.
+  bool streamStarted() const { return streamStarted_; }
+
+  /// The answer closes the connection.
+  void setClosing(bool closing) { closing_ = closing; }
+
+ private:
+  bool write(const std::string& bytes, boost::asio::yield_context yield);
+
+  boost::asio::ip::tcp::socket& socket_;
+  const ServingStrand& strand_;
+  std::string pendingHead_;
+  bool headTaken_ = false;
+  bool streamStarted_ = false;
+  bool closing_ = false;
+};
+
+/// Serves the calls of one connection, one after the other, until it is closed.
+class CallerSession {
+ public:
+  CallerSession(GatewayShared& shared, boost::asio::ip::tcp::socket socket,
+                const ServingStrand& strand);
+
+  void run(boost::asio::yield_context yield);
+
+ private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  /// Serves one call; false if the connection must be closed.
+  bool serve(boost::asio::yield_context yield);
+  bool waitForCall(Duration idle, boost::asio::yield_context yield);
+  /// Reads a call. Null if the connection is to be closed without an answer; `refusal_` is set if
+  /// the call must be refused before its body is read.
+  bool readCall(Parser& parser, const CallerBounds& bounds, SessionWriter& writer,
+                boost::asio::yield_context yield);
+  void takeCall(Parser& parser, GatewayCall& call);
+  bool answer(GatewayCall& call, SessionWriter& writer, bool keepAlive,
+              boost::asio::yield_context yield);
+  bool refuse(const Error& error, const std::string& requestId, SessionWriter& writer,
+              boost::asio::yield_context yield);
+  CallerBounds bounds() const;
+
+  GatewayShared& shared_;
+  GatewayServices& services_;
+  boost::asio::ip::tcp::socket socket_;
+  ServingStrand strand_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Error> refusal_;
+};
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/engine_link.cpp
@@ -0,0 +1,264 @@
+#include "gateway/engine_link.h"
+
+#include "wire/tcp_endpoint.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdlib>
+#include <sys/socket.h>
+
+namespace shedshed {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Largest head of an engine's answer, in bytes.
+constexpr std::uint32_t kMaxHeadBytes = 32U << 10U;
+/// Largest body of an engine's answer, in bytes.
+constexpr std::uint64_t kMaxBodyBytes = 256U << 20U;
+/// Time that an engine is expected to keep an idle connection if it does not say.
+constexpr Duration kAssumedKeepAlive = std::chrono::seconds(4);
+/// A link is given up this long before the engine would close it.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(700);
+/// Sent bytes that stay unacknowledged for this long close the link: the engine is gone.
+constexpr std::chrono::milliseconds kUnackedTimeout{1500};
+/// Most idle links kept per engine.
+constexpr std::size_t kMostIdleLinks = 16;
+
+std::string_view toView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+void appendHeader(std::string& text, std::string_view name, std::string_view value) {
+  text.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string requestText(const OpaqueCall& call, const HeaderNames& names,
+                        const std::string& engineId, Duration timeLeft) {
+  std::string text;
+  text.reserve(512 + call.body.size());
+  text.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\n");
+  appendHeader(text, "Host", call.host);
+  for (const HeaderField& field : call.headers) {
+    appendHeader(text, field.name, field.value);
+  }
+  appendHeader(text, names.requestId, call.requestId);
+  appendHeader(text, names.expectedEngine, engineId);
+  if (!call.tenant.empty()) {
+    appendHeader(text, names.tenant, call.tenant);
+  }
+  if (call.tellDeadline) {
+    appendHeader(text, names.deadline,
+                 std::to_string(std::max<std::int64_t>(1, toMilliseconds(timeLeft))));
+  }
+  if (!call.resumeAfter.empty()) {
+    appendHeader(text, names.resumeAfter, call.resumeAfter);
+  }
+  if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+    appendHeader(text, "Content-Length", std::to_string(call.body.size()));
+  }
+  text.append("\r\n").append(call.body);
+  return text;
+}
+
+/// The seconds of `Keep-Alive: timeout=N`; nullopt if it does not say.
+std::optional<Duration> keepAliveOf(std::string_view value) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t begin = value.find(kTimeout);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string digits(value.substr(begin + kTimeout.size()));
+  return std::chrono::seconds(std::strtol(digits.c_str(), nullptr, 10));
+}
+
+}  // namespace
+
+EngineLink::EngineLink(net::io_context& io, const HeaderNames& names)
+    : names_(names), socket_(io), keepAlive_(kAssumedKeepAlive) {}
+
+Error EngineLink::failure(const error_code& failed, const SocketDeadline& deadline,
+                          const CallAbort& abort) const {
+  if (abort.aborted()) {
+    return makeError(ErrorCode::Cancelled, "the caller has gone", Ran::Unknown);
+  }
+  if (deadline.expired()) {
+    return makeError(ErrorCode::DeadlineExceeded, "the engine took too long", Ran::Unknown);
+  }
+  if (failed == http::error::partial_message) {
+    return makeError(ErrorCode::ResponseTruncated, "the answer ended before its framing said so",
+                     Ran::Unknown);
+  }
+  return makeError(ErrorCode::EngineFailed, failed.message(), Ran::Unknown);
+}
+
+Status EngineLink::connect(const std::string& address, Duration limit, CallAbort& abort,
+                           const ServingStrand& strand, net::yield_context yield) {
+  const auto endpoint = parseEndpoint(address);
+  if (!endpoint) {
+    return endpoint.error();
+  }
+  const CallAbort::Scope scope(abort, [this]() { close(); });
+  SocketDeadline deadline(strand, socket_);
+  deadline.arm(limit);
+  error_code failed;
+  socket_.async_connect(endpoint.value(), yield[failed]);
+  if (failed || deadline.expired() || abort.aborted()) {
+    Error error = failure(failed, deadline, abort);
+    error.ran = Ran::No;
+    close();
+    return error;
+  }
+  error_code ignored;
+  socket_.set_option(net::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  setUnackedTimeout(socket_, kUnackedTimeout);
+  return okStatus();
+}
+
+Status EngineLink::send(const OpaqueCall& call, const std::string& engineId, Duration timeLeft,
+                        CallAbort& abort, const ServingStrand& strand, net::yield_context yield) {
+  clean_ = false;
+  if (abort.aborted()) {
+    return makeError(ErrorCode::Cancelled, "the caller has gone", Ran::No);
+  }
+  const CallAbort::Scope scope(abort, [this]() { close(); });
+  SocketDeadline deadline(strand, socket_);
+  const std::string text = requestText(call, names_, engineId, timeLeft);
+  error_code failed;
+  std::size_t sent = socket_.write_some(net::buffer(text), failed);
+  if (failed == net::error::would_block || failed == net::error::try_again) {
+    failed = {};
+    sent = 0;
+  }
+  if (!failed && sent < text.size()) {
+    deadline.arm(timeLeft);
+    sent += net::async_write(socket_, net::buffer(text) + sent, yield[failed]);
+  }
+  if (failed) {
+    Error error = failure(failed, deadline, abort);
+    error.ran = sent == 0 ? Ran::No : Ran::Unknown;
+    return error;
+  }
+  return okStatus();
+}
+
+EngineHead EngineLink::headOf(const OpaqueCall& call) {
+  EngineHead head;
+  const auto& message = parser_->get();
+  head.status = static_cast<int>(message.result_int());
+  for (const auto& field : message.base()) {
+    const std::string_view name = toView(field.name_string());
+    const std::string_view value = toView(field.value());
+    if (sameHeaderName(name, "Keep-Alive")) {
+      keepAlive_ = keepAliveOf(value).value_or(keepAlive_);
+    }
+    if (isConnectionHeader(name)) {
+      continue;
+    }
+    head.hasRequestId =
+        head.hasRequestId || (sameHeaderName(name, names_.requestId) && value == call.requestId);
+    head.notRun = head.notRun || sameHeaderName(name, names_.notRun);
+    head.isSigned = head.isSigned || sameHeaderName(name, names_.signature);
+    if (sameHeaderName(name, "Content-Type")) {
+      head.eventStream = value.substr(0, 17) == "text/event-stream";
+    }
+    head.headers.push_back({std::string(name), std::string(value)});
+  }
+  return head;
+}
+
+Result<EngineHead> EngineLink::readHead(const OpaqueCall& call, Duration limit, CallAbort& abort,
+                                        const ServingStrand& strand, net::yield_context yield) {
+  const CallAbort::Scope scope(abort, [this]() { close(); });
+  SocketDeadline deadline(strand, socket_);
+  deadline.arm(limit);
+  parser_.emplace();
+  parser_->header_limit(kMaxHeadBytes);
+  parser_->body_limit(kMaxBodyBytes);
+  error_code failed;
+  http::async_read_header(socket_, buffer_, *parser_, yield[failed]);
+  if (failed || abort.aborted()) {
+    return failure(failed, deadline, abort);
+  }
+  return headOf(call);
+}
+
+Result<std::string_view> EngineLink::readPiece(Duration limit, CallAbort& abort,
+                                               const ServingStrand& strand,
+                                               net::yield_context yield) {
+  const CallAbort::Scope scope(abort, [this]() { close(); });
+  SocketDeadline deadline(strand, socket_);
+  deadline.arm(limit);
+  while (!parser_->is_done()) {
+    parser_->get().body().data = piece_.data();
+    parser_->get().body().size = piece_.size();
+    error_code failed;
+    http::async_read_some(socket_, buffer_, *parser_, yield[failed]);
+    const std::size_t size = piece_.size() - parser_->get().body().size;
+    if (failed == http::error::need_buffer) {
+      failed = {};
+    }
+    if (failed || abort.aborted()) {
+      return failure(failed, deadline, abort);
+    }
+    if (size > 0) {
+      return std::string_view(piece_.data(), size);
+    }
+  }
+  // Bytes after a whole answer belong to no call.
+  clean_ = parser_->keep_alive() && buffer_.size() == 0;
+  return std::string_view();
+}
+
+bool EngineLink::reusable() {
+  if (!clean_ || !socket_.is_open()) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void EngineLink::close() {
+  clean_ = false;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+std::unique_ptr<EngineLink> EngineLinkPool::take(const std::string& engine, Time now) {
+  const auto found = idle_.find(engine);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  std::vector<Idle>& links = found->second;
+  while (!links.empty()) {
+    Idle newest = std::move(links.back());
+    links.pop_back();
+    if (now < newest.until && newest.link->reusable()) {
+      return std::move(newest.link);
+    }
+  }
+  return nullptr;
+}
+
+void EngineLinkPool::giveBack(const std::string& engine, std::unique_ptr<EngineLink> link,
+                              Time now) {
+  const Time until = now + link->keepAlive() - kKeepAliveMargin;
+  std::vector<Idle>& links = idle_[engine];
+  if (until > now && links.size() < kMostIdleLinks && link->reusable()) {
+    links.push_back({std::move(link), until});
+  }
+}
+
+void EngineLinkPool::keepOnly(const std::vector<std::string>& engines) {
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    const bool listed = std::binary_search(engines.begin(), engines.end(), entry->first);
+    entry = listed ? std::next(entry) : idle_.erase(entry);
+  }
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/engine_selector.cpp
@@ -0,0 +1,152 @@
+#include "gateway/engine_selector.h"
+
+#include "kernel/rendezvous.h"
+
+#include <algorithm>
+
+namespace shedshed {
+namespace {
+
+/// Prefixes that are remembered; all are forgotten when there are more.
+constexpr std::size_t kMostPrefixes = 20000;
+
+/// The engine that all nodes prefer for a prefix.
+std::string preferredEngine(const std::vector<const EngineInfo*>& candidates, std::uint64_t hash) {
+  const std::string key = "prefix/" + std::to_string(hash);
+  const EngineInfo* best = nullptr;
+  std::uint64_t bestWeight = 0;
+  for (const EngineInfo* candidate : candidates) {
+    const std::uint64_t weight = rendezvousWeight(key, candidate->id);
+    if (best == nullptr || weight > bestWeight) {
+      best = candidate;
+      bestWeight = weight;
+    }
+  }
+  return best == nullptr ? std::string() : best->id;
+}
+
+}  // namespace
+
+EngineSelector::EngineSelector(std::string zone, RandomEngine& random, SelectorKnobs knobs)
+    : zone_(std::move(zone)), random_(random), knobs_(knobs) {}
+
+std::vector<EngineSelector::Prefix> EngineSelector::sharedPrefixes(const PromptHints& prompt) {
+  std::vector<Prefix> prefixes;
+  std::string chain;
+  std::uint32_t tokens = 0;
+  for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
+    chain += prompt.parts[index].id;
+    chain += '/';
+    tokens += prompt.parts[index].tokens;
+    prefixes.push_back({hash64(chain), tokens});
+  }
+  return prefixes;
+}
+
+double EngineSelector::warmTokens(const EngineInfo& engine, const std::vector<Prefix>& prefixes,
+                                  const std::string& preferred, Time now) const {
+  for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
+    const auto known = warm_.find(prefix->hash);
+    if (known == warm_.end()) {
+      continue;
+    }
+    const auto read = known->second.find(engine.id);
+    if (read != known->second.end() && now - read->second < knobs_.warmMemory) {
+      return prefix->tokens;
+    }
+  }
+  const bool believed = engine.id == preferred && !prefixes.empty();
+  return believed ? knobs_.believedWarm * prefixes.back().tokens : 0;
+}
+
+double EngineSelector::cost(const EngineInfo& engine, double coldTokens, Time now) const {
+  double cost = coldTokens * knobs_.perColdToken;
+  if (!zone_.empty() && engine.zone != zone_) {
+    cost += knobs_.otherZone;
+  }
+  const auto found = uses_.find(engine.id);
+  if (found == uses_.end()) {
+    return cost;
+  }
+  cost += found->second.inFlight * knobs_.perCallInFlight;
+  cost += now < found->second.refusedUntil ? knobs_.afterRefusal : 0;
+  cost += now < found->second.failedUntil ? knobs_.afterFailure : 0;
+  return cost;
+}
+
+Result<EngineChoice> EngineSelector::choose(const EngineTable& table, const OpaqueCall& call,
+                                            const std::set<std::string>& excluded, Time now) {
+  std::vector<const EngineInfo*> candidates;
+  for (const EngineInfo& engine : table.engines) {
+    if (engine.model == call.service && engine.state == EngineState::Ready) {
+      candidates.push_back(&engine);
+    }
+  }
+  const std::vector<Prefix> prefixes = sharedPrefixes(call.prompt);
+  const bool binds = !prefixes.empty() && prefixes.back().tokens >= knobs_.sharedTokens;
+  // Of all ready engines, so that a second choice does not move the preference.
+  const std::string preferred =
+      binds ? preferredEngine(candidates, prefixes.back().hash) : std::string();
+  const EngineInfo* best = nullptr;
+  double bestCost = 0;
+  for (const EngineInfo* candidate : candidates) {
+    if (excluded.count(candidate->id) != 0) {
+      continue;
+    }
+    const double warm = binds ? warmTokens(*candidate, prefixes, preferred, now) : 0;
+    const double cold = binds ? prefixes.back().tokens - warm : 0;
+    const double jitter = static_cast<double>(random_() % 1024) / 1024;
+    const double candidateCost = cost(*candidate, cold, now) + jitter;
+    if (best == nullptr || candidateCost < bestCost) {
+      best = candidate;
+      bestCost = candidateCost;
+    }
+  }
+  if (best == nullptr) {
+    return makeError(ErrorCode::NoEngine, "no engine of the service is ready");
+  }
+  ++uses_[best->id].inFlight;
+  return EngineChoice{best->id, best->address};
+}
+
+void EngineSelector::finished(const std::string& engine) {
+  Use& use = uses_[engine];
+  use.inFlight -= use.inFlight > 0 ? 1 : 0;
+}
+
+void EngineSelector::refused(const std::string& engine, Time now) {
+  uses_[engine].refusedUntil = now + knobs_.refusalMemory;
+}
+
+void EngineSelector::failed(const std::string& engine, Time now) {
+  uses_[engine].failedUntil = now + knobs_.failureMemory;
+}
+
+void EngineSelector::served(const std::string& engine, const OpaqueCall& call, Time now) {
+  if (warm_.size() > kMostPrefixes) {
+    warm_.clear();
+  }
+  for (const Prefix& prefix : sharedPrefixes(call.prompt)) {
+    if (prefix.tokens >= knobs_.sharedTokens) {
+      warm_[prefix.hash][engine] = now;
+    }
+  }
+}
+
+void EngineSelector::keepOnly(const EngineTable& table) {
+  std::set<std::string> listed;
+  for (const EngineInfo& engine : table.engines) {
+    listed.insert(engine.id);
+  }
+  for (auto use = uses_.begin(); use != uses_.end();) {
+    const bool keep = listed.count(use->first) != 0 || use->second.inFlight > 0;
+    use = keep ? std::next(use) : uses_.erase(use);
+  }
+  for (auto& prefix : warm_) {
+    for (auto engine = prefix.second.begin(); engine != prefix.second.end();) {
+      engine = listed.count(engine->first) != 0 ? std::next(engine) : prefix.second.erase(engine);
+    }
+  }
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/engine_selector.h
@@ -0,0 +1,88 @@
+/// @file
+/// Chooses the engine of an opaque call by what it would cost there.
+#pragma once
+
+#include "engines/engine_table.h"
+#include "gateway/opaque_call.h"
+#include "kernel/core.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shedshed {
+
+/// Weights of the costs, in milliseconds.
+struct SelectorKnobs {
+  double perCallInFlight = 4;    ///< For each call of this node that runs at the engine.
+  double perColdToken = 0.0065;  ///< For each token of the prompt to be read there.
+  double otherZone = 2;          ///< For an engine in another zone.
+  double afterRefusal = 25;      ///< While `refusalMemory` lasts.
+  double afterFailure = 2000;    ///< While `failureMemory` lasts.
+  double believedWarm = 0.8;     ///< Share of a prefix taken to be warm at its preferred engine.
+  std::uint32_t sharedTokens = 600;  ///< A shorter shared prefix does not bind a call to an engine.
+  Duration refusalMemory = std::chrono::milliseconds(150);
+  Duration failureMemory = std::chrono::milliseconds(1500);
+  Duration warmMemory = std::chrono::seconds(90);
+};
+
+/// The chosen engine.
+struct EngineChoice {
+  std::string id;
+  std::string address;
+};
+
+/// Keeps what this node knows of the engines' load and caches. Core thread only.
+class EngineSelector {
+ public:
+  /// @p zone is this node's.
+  EngineSelector(std::string zone, RandomEngine& random, SelectorKnobs knobs = {});
+
+  /// Chooses among the ready engines of the call's service that are not in @p excluded, and counts
+  /// the call as in flight there until `finished`. Fails with `NoEngine`.
+  Result<EngineChoice> choose(const EngineTable& table, const OpaqueCall& call,
+                              const std::set<std::string>& excluded, Time now);
+
+  /// The call has left the engine.
+  void finished(const std::string& engine);
+
+  /// The engine refused a call without running it.
+  void refused(const std::string& engine, Time now);
+
+  /// The engine could not be reached or broke off.
+  void failed(const std::string& engine, Time now);
+
+  /// The engine has read the call's prompt.
+  void served(const std::string& engine, const OpaqueCall& call, Time now);
+
+  /// Forgets what is known of engines that @p table does not list.
+  void keepOnly(const EngineTable& table);
+
+ private:
+  struct Use {
+    std::uint32_t inFlight = 0;
+    Time refusedUntil{};
+    Time failedUntil{};
+  };
+  /// A prefix of a prompt: the parts up to one that is shared.
+  struct Prefix {
+    std::uint64_t hash = 0;
+    std::uint32_t tokens = 0;
+  };
+
+  /// The shared prefixes of the call, shortest first.
+  static std::vector<Prefix> sharedPrefixes(const PromptHints& prompt);
+  double warmTokens(const EngineInfo& engine, const std::vector<Prefix>& prefixes,
+                    const std::string& preferred, Time now) const;
+  double cost(const EngineInfo& engine, double coldTokens, Time now) const;
+
+  const std::string zone_;
+  RandomEngine& random_;
+  const SelectorKnobs knobs_;
+  std::map<std::string, Use> uses_;
+  /// When each engine has last read each prefix.
+  std::map<std::uint64_t, std::map<std::string, Time>> warm_;
+};
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/gateway_services.h
@@ -0,0 +1,42 @@
+/// @file
+/// What the gateway needs of the rest of the process.
+#pragma once
+
+#include "batch/batch_client.h"
+#include "gateway/forwarder.h"
+#include "gateway/header_names.h"
+#include "kernel/snapshot.h"
+#include "membership/directory.h"
+#include "register/configuration_register.h"
+#include "serving/call_journal.h"
+#include "serving/core_executor.h"
+#include "serving/serving_counters.h"
+#include "settings/settings.h"
+#include "slots/slot_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace shedshed {
+
+/// References to services that outlive the gateway. All run on the thread of `io`.
+struct GatewayServices {
+  boost::asio::io_context& io;
+  CoreExecutor& core;
+  const Snapshot<SettingsTree>& settings;  ///< Null until the first proved version.
+  const ConfigurationSource& configuration;
+  const Directory& directory;
+  EngineSource& engines;
+  SlotClient& slots;
+  BatchClient& batches;
+  Forwarder& forwarder;
+  ServingCounters& counters;
+  HeaderNames names;
+  Duration quotaWindow = std::chrono::seconds(5);
+  bool draining = false;  ///< Every answer closes its connection.
+  CallJournal* journal = &NoCallJournal::instance();
+};
+
+/// Returns why the node is not ready for calls, or success.
+Status checkGatewayReady(const GatewayServices& services);
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/item_runner.cpp
@@ -0,0 +1,155 @@
+#include "gateway/item_runner.h"
+
+#include "gateway/call_filters.h"
+#include "gateway/event_splitter.h"
+#include "kernel/message.h"
+#include "kernel/rendezvous.h"
+
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/coroutine/attributes.hpp>
+
+namespace shedshed {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNever = 422;
+constexpr int kFirstServerError = 500;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+/// An engine that is silent for this long is left for another one.
+constexpr Duration kSilence = std::chrono::milliseconds(2500);
+/// Refusals after which the item goes back to wait for its turn.
+constexpr int kMostRefusals = 3;
+/// Broken runs after which the item goes back as well.
+constexpr int kMostBreaks = 12;
+constexpr std::chrono::milliseconds kRetryPause{60};
+constexpr std::size_t kStackBytes = 256U << 10U;
+
+std::string headerOf(const std::vector<HeaderField>& headers, const std::string& name) {
+  for (const HeaderField& field : headers) {
+    if (sameHeaderName(field.name, name)) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+/// Collects the data of the events.
+class TextSink : public StreamSink {
+ public:
+  void onHead(const EngineHead&) override {}
+  Status onBytes(std::string_view bytes, boost::asio::yield_context) override {
+    text_.add(bytes);
+    return okStatus();
+  }
+  std::string take() { return text_.take(); }
+
+ private:
+  EventText text_;
+};
+
+}  // namespace
+
+std::string OpaqueItemRunner::modelOf(const std::string& body) const {
+  const Result<BatchItemCall> item = decodeRecord<BatchItemCall>(body);
+  if (!item) {
+    return {};
+  }
+  const auto settings = services_.settings.read();
+  if (settings == nullptr) {
+    return item.value().service;
+  }
+  const RouteSettings* route = settings->routes().find(item.value().route);
+  return route == nullptr ? std::string() : route->services.front().service;
+}
+
+Result<OpaqueCall> OpaqueItemRunner::opaqueCall(const EngineCall& call) const {
+  Result<BatchItemCall> decoded = decodeRecord<BatchItemCall>(call.body);
+  if (!decoded) {
+    return makeError(ErrorCode::InvalidArgument, decoded.error().detail);
+  }
+  BatchItemCall& item = decoded.value();
+  OpaqueCall opaque;
+  opaque.requestId = item.name;
+  opaque.method = "POST";
+  opaque.target = std::move(item.target);
+  opaque.host = std::move(item.host);
+  opaque.headers = std::move(item.headers);
+  opaque.body = std::move(item.body);
+  opaque.tenant = call.tenant;
+  opaque.service = call.model;
+  opaque.prompt = parsePromptHints(headerOf(opaque.headers, services_.names.promptParts),
+                                   headerOf(opaque.headers, services_.names.tokenCount));
+  opaque.resumable = true;
+  opaque.idempotent = true;
+  const auto settings = services_.settings.read();
+  const RouteSettings* route = settings == nullptr ? nullptr : settings->routes().find(item.route);
+  if (route != nullptr) {
+    opaque.service = chooseService(*route, static_cast<double>(hash64(item.name) % 1024) / 1024);
+    opaque.maxAttempts = std::max(route->maxAttempts, 1U);
+  }
+  return opaque;
+}
+
+void OpaqueItemRunner::run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) {
+  const ServingStrand strand(services_.io.get_executor());
+  auto body = [this, strand, call = std::move(call),
+               done = std::move(done)](boost::asio::yield_context yield) {
+    auto result = std::make_shared<Result<EngineAnswer>>(runNow(call, strand, yield));
+    // On the event loop, not on the coroutine's stack: the runner starts other items.
+    boost::asio::post(services_.io, [done, result] { done(std::move(*result)); });
+  };
+  boost::asio::spawn(strand, std::move(body), boost::coroutines::attributes(kStackBytes));
+}
+
+Result<EngineAnswer> OpaqueItemRunner::runNow(const EngineCall& call, const ServingStrand& strand,
+                                              boost::asio::yield_context yield) {
+  Result<OpaqueCall> prepared = opaqueCall(call);
+  if (!prepared) {
+    return prepared.error();
+  }
+  OpaqueCall opaque = std::move(prepared.value());
+  TextSink sink;
+  CallAbort never;
+  ForwardedCall forwarded{opaque, sink, never, strand};
+  std::set<std::string> tried;
+  std::uint32_t failures = 0;
+  int refusals = 0;
+  int breaks = 0;
+  boost::asio::steady_timer pause(strand);
+  while (refusals < kMostRefusals && breaks < kMostBreaks && call.isWanted()) {
+    const Attempt attempt = services_.forwarder.attempt(forwarded, opaque, tried, kSilence, yield);
+    if (attempt.end == AttemptEnd::Streamed) {
+      return EngineAnswer{kOk, sink.take()};
+    }
+    if (attempt.end == AttemptEnd::Answered) {
+      const int status = attempt.head.status;
+      if (status >= kFirstSuccess && status < kFirstRedirect) {
+        return EngineAnswer{kOk, attempt.body};
+      }
+      if (status == kNever || ++failures >= opaque.maxAttempts) {
+        return EngineAnswer{status, {}};
+      }
+      tried.clear();
+      continue;
+    }
+    if (attempt.end == AttemptEnd::Broken) {
+      ++breaks;
+      opaque.resumeAfter = attempt.lastId.empty() ? opaque.resumeAfter : attempt.lastId;
+      continue;
+    }
+    ++refusals;
+    if (attempt.error.code == ErrorCode::NoEngine && !tried.empty()) {
+      tried.clear();
+    }
+    boost::system::error_code ignored;
+    pause.expires_after(kRetryPause);
+    pause.async_wait(yield[ignored]);
+  }
+  return makeError(ErrorCode::NoEngine, "no engine ran the item",
+                   failures + static_cast<std::uint32_t>(breaks) > 0 ? Ran::Unknown : Ran::No);
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/opaque_call.cpp
@@ -0,0 +1,60 @@
+#include "gateway/opaque_call.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace shedshed {
+namespace {
+
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {
+    "connection", "keep-alive",        "proxy-connection", "proxy-authorization", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "content-length"};
+
+/// Most parts of a prompt that are looked at.
+constexpr std::size_t kMostParts = 64;
+
+std::uint32_t numberOf(std::string_view text) {
+  std::uint32_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/// Cuts the text up to @p separator off the beginning of @p text and returns it.
+std::string_view takeUntil(std::string_view& text, char separator) {
+  const std::size_t end = std::min(text.find(separator), text.size());
+  const std::string_view piece = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  return piece;
+}
+
+}  // namespace
+
+PromptHints parsePromptHints(std::string_view parts, std::string_view tokenCount) {
+  PromptHints hints;
+  while (!parts.empty() && hints.parts.size() < kMostParts) {
+    std::string_view part = takeUntil(parts, ',');
+    const std::string_view id = takeUntil(part, ':');
+    hints.parts.push_back({std::string(id), numberOf(part)});
+  }
+  const std::string_view tokensIn = takeUntil(tokenCount, ',');
+  hints.tokensIn = numberOf(tokensIn);
+  hints.tokensOut = numberOf(tokenCount);
+  return hints;
+}
+
+bool sameHeaderName(std::string_view left, std::string_view right) {
+  const auto same = [](char a, char b) {
+    return std::tolower(static_cast<unsigned char>(a)) ==
+           std::tolower(static_cast<unsigned char>(b));
+  };
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(), same);
+}
+
+bool isConnectionHeader(std::string_view name) {
+  return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                     [name](std::string_view known) { return sameHeaderName(name, known); });
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/gateway/whole_call_server.cpp
@@ -0,0 +1,156 @@
+#include "gateway/whole_call_server.h"
+
+#include "serving/await_core.h"
+#include "serving/request_framing.h"
+#include "serving/socket_deadline.h"
+#include "wire/listening.h"
+
+#include <array>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/coroutine/attributes.hpp>
+
+namespace shedshed {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kStackBytes = 256U << 10U;
+constexpr std::uint32_t kMaxHeaderBytes = 16U << 10U;
+constexpr Duration kIdleLimit = std::chrono::seconds(30);
+constexpr Duration kReadLimit = std::chrono::seconds(10);
+constexpr Duration kLinger = std::chrono::milliseconds(500);
+
+std::string toText(boost::beast::string_view text) {
+  return std::string(text.data(), text.size());
+}
+
+WholeCall callOf(http::request<http::string_body>& message) {
+  WholeCall call;
+  call.method = toText(message.method_string());
+  call.target = toText(message.target());
+  for (const auto& field : message.base()) {
+    call.headers.push_back({toText(field.name_string()), toText(field.value())});
+  }
+  call.body = std::move(message.body());
+  return call;
+}
+
+http::response<http::string_body> responseOf(const GatewayAnswer& answer, bool keepAlive) {
+  http::response<http::string_body> response;
+  response.version(11);
+  response.result(static_cast<unsigned>(answer.status));
+  for (const HeaderField& field : answer.headers) {
+    response.set(field.name, field.value);
+  }
+  response.keep_alive(keepAlive);
+  response.body() = answer.body;
+  response.prepare_payload();
+  return response;
+}
+
+/// Runs tasks at once: server and handler share one thread.
+class SameThread : public CoreExecutor {
+ public:
+  void post(std::function<void()> task) override { task(); }
+  Time now() const override { return {}; }
+};
+
+/// Reads what is left so that the answer isn't lost in a reset.
+void linger(net::ip::tcp::socket& socket, const ServingStrand& strand, net::yield_context yield) {
+  error_code failed;
+  socket.shutdown(net::ip::tcp::socket::shutdown_send, failed);
+  SocketDeadline deadline(strand, socket);
+  deadline.arm(kLinger);
+  std::array<char, 4096> dropped{};
+  while (!failed) {
+    socket.async_read_some(net::buffer(dropped), yield[failed]);
+  }
+}
+
+}  // namespace
+
+std::string_view WholeCall::header(std::string_view name) const {
+  for (const HeaderField& field : headers) {
+    if (sameHeaderName(field.name, name)) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+WholeCallServer::WholeCallServer(net::io_context& io, std::string address, std::size_t maxBodyBytes,
+                                 Handler handler)
+    : io_(io), address_(std::move(address)), maxBodyBytes_(maxBodyBytes),
+      handler_(std::move(handler)), acceptor_(io) {}
+
+Status WholeCallServer::start() {
+  const Status listening = listenOn(acceptor_, address_);
+  if (listening) {
+    accept();
+  }
+  return listening;
+}
+
+void WholeCallServer::accept() {
+  const ServingStrand strand(io_.get_executor());
+  acceptor_.async_accept(strand, [this, strand](const error_code& failed, auto accepted) {
+    if (failed == net::error::operation_aborted) {
+      return;
+    }
+    if (!failed) {
+      auto socket = std::make_shared<net::ip::tcp::socket>(std::move(accepted));
+      net::spawn(
+          strand,
+          [this, socket, strand](net::yield_context yield) { serve(*socket, strand, yield); },
+          boost::coroutines::attributes(kStackBytes));
+    }
+    accept();
+  });
+}
+
+void WholeCallServer::serve(net::ip::tcp::socket& socket, const ServingStrand& strand,
+                            net::yield_context yield) {
+  boost::beast::flat_buffer buffer;
+  SameThread sameThread;
+  bool open = true;
+  while (open) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(kMaxHeaderBytes);
+    parser.body_limit(maxBodyBytes_);
+    error_code failed;
+    SocketDeadline deadline(strand, socket);
+    deadline.arm(buffer.size() > 0 ? kReadLimit : kIdleLimit);
+    http::async_read(socket, buffer, parser, yield[failed]);
+    deadline.disarm();
+    GatewayAnswer answer;
+    if (failed == http::error::body_limit || failed == http::error::header_limit) {
+      answer = gatewayErrorAnswer(makeError(ErrorCode::TooLarge, "over its bound"), {});
+      open = false;
+    } else if (failed) {
+      return;
+    } else if (const Status framing = checkRequestFraming(parser.get().base()); !framing) {
+      answer = gatewayErrorAnswer(framing.error(), {});
+      open = false;
+    } else {
+      const WholeCall call = callOf(parser.get());
+      answer = awaitCore<GatewayAnswer>(sameThread, yield,
+                                        [this, &call](Done done) { handler_(call, done); });
+      open = parser.keep_alive();
+    }
+    auto response = responseOf(answer, open);
+    deadline.arm(kReadLimit);
+    http::async_write(socket, response, yield[failed]);
+    if (failed) {
+      return;
+    }
+    if (!open) {
+      linger(socket, strand, yield);
+    }
+  }
+}
+
+}  // namespace shedshed
--- a/src/kernel/message.cpp
+++ b/src/kernel/message.cpp
@@ -28,6 +28,10 @@
     return "operators";
   case ServiceId::Lending:
     return "lending";
+  case ServiceId::EngineList:
+    return "engine_list";
+  case ServiceId::Bootstrap:
+    return "bootstrap";
   }
   return "unknown";
 }
--- a/src/kernel/message.h
+++ b/src/kernel/message.h
@@ -27,6 +27,8 @@
   EngineWatch = 10,   ///< Health of the engines, on data nodes.
   Operators = 11,     ///< Commands that concern the whole fleet.
   Lending = 12,       ///< Singleton that sets the room lent to batches.
+  EngineList = 13,    ///< The platform's listing of engines, read by one node for all.
+  Bootstrap = 14,     ///< Forms the fleet at its first start.
 };
 
 /// Returns the service's stable name, for logs, metrics and the service registry.
--- /dev/null
+++ b/src/operators/settings_versions.cpp
@@ -0,0 +1,135 @@
+#include "operators/settings_versions.h"
+
+#include "kernel/rendezvous.h"
+#include "settings/item_change.h"
+#include "settings/settings.h"
+
+#include <limits>
+
+namespace shedshed {
+namespace {
+
+/// Proposals of one order after changes that left the named version as it was, or that were lost
+/// races with the repair of an unfinished change.
+constexpr std::uint32_t kMaxTries = 8;
+
+/// A register version that is never reached: a proposal on it takes no effect, but is answered from
+/// the ledger if its order did before.
+constexpr std::uint64_t kNoVersion = std::numeric_limits<std::uint64_t>::max() / 2;
+
+std::string orderIdOf(const SettingsOrder& order) {
+  const char* kind = order.kind == SettingsOrder::Kind::Replace ? "replace" : "items";
+  return "named " + std::string(kind) + " " + std::to_string(order.baseVersion) + " " +
+         hash128Hex(order.body);
+}
+
+/// The named version of a value that was checked when it was taken.
+std::uint64_t namedVersionOf(const std::string& settings) {
+  if (settings.empty()) {
+    return 0;
+  }
+  const Result<SettingsTree> tree = SettingsTree::parse(settings);
+  return tree ? tree.value().namedVersion() : 0;
+}
+
+/// Makes the new settings. Fails if they would not be valid on @p current.
+Result<std::string> newSettings(const SettingsOrder& order, const std::string& current) {
+  Result<std::string> text = order.kind == SettingsOrder::Kind::Replace
+                                 ? Result<std::string>(order.body)
+                                 : applyItemChange(current, order.body);
+  if (!text) {
+    return text.error();
+  }
+  const Result<SettingsTree> tree = SettingsTree::parse(text.value());
+  if (!tree) {
+    return tree.error();
+  }
+  if (tree.value().namedVersion() <= order.baseVersion) {
+    return makeError(ErrorCode::InvalidArgument,
+                     "/version: must be above " + std::to_string(order.baseVersion));
+  }
+  return text;
+}
+
+}  // namespace
+
+void SettingsVersions::read(std::function<void(Result<std::string>)> done) {
+  configuration_.read(kSettingsRegister, [done = std::move(done)](Result<RegisterValue> read) {
+    if (!read) {
+      done(read.error());
+      return;
+    }
+    done(std::move(read.value().value));
+  });
+}
+
+void SettingsVersions::submit(SettingsOrder order, Done done) {
+  propose(std::make_shared<Attempt>(Attempt{std::move(order), std::move(done)}));
+}
+
+void SettingsVersions::propose(const std::shared_ptr<Attempt>& attempt) {
+  ++attempt->tries;
+  configuration_.read(kSettingsRegister, [this, attempt](const Result<RegisterValue>& read) {
+    if (!read) {
+      attempt->done(read.error());
+      return;
+    }
+    proposeOn(attempt, read.value());
+  });
+}
+
+void SettingsVersions::proposeOn(const std::shared_ptr<Attempt>& attempt,
+                                 const RegisterValue& current) {
+  const SettingsOrder& order = attempt->order;
+  ChangeRequest request;
+  request.registerName = kSettingsRegister;
+  request.orderId = orderIdOf(order);
+  request.content = request.orderId;
+  request.baseVersion = kNoVersion;
+  const std::uint64_t named = namedVersionOf(current.value);
+  if (named != order.baseVersion) {
+    change(
+        attempt, std::move(request), false,
+        makeError(ErrorCode::VersionConflict, "version " + std::to_string(named) + " is in force"));
+    return;
+  }
+  Result<std::string> settings = newSettings(order, current.value);
+  if (!settings) {
+    // Not proposed: what is not valid on its base can't have taken effect on it.
+    attempt->done(settings.error());
+    return;
+  }
+  request.baseVersion = current.version;
+  request.value = std::move(settings.value());
+  change(attempt, std::move(request), true, makeError(ErrorCode::VersionConflict));
+}
+
+void SettingsVersions::change(const std::shared_ptr<Attempt>& attempt, ChangeRequest request,
+                              bool onBase, Error refusal) {
+  const auto answer = [this, attempt, onBase,
+                       refusal = std::move(refusal)](const Result<ChangeOutcome>& outcome) {
+    if (outcome) {
+      attempt->done(SettingsOrderOutcome{0, outcome.value().repeated});
+      return;
+    }
+    switch (outcome.error().code) {
+    case ErrorCode::OrderIdReused:
+      // The id is the hash of the order: the same order took effect on another register version.
+      attempt->done(SettingsOrderOutcome{0, true});
+      return;
+    case ErrorCode::VersionConflict:
+      if (onBase && attempt->tries < kMaxTries) {
+        propose(attempt);  // The register moved on; the named version may have, too.
+        return;
+      }
+      attempt->done(refusal);
+      return;
+    default:
+      attempt->done(outcome.error());
+      return;
+    }
+  };
+  configuration_.change(std::move(request), answer);
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/process/gateway_process.h
@@ -0,0 +1,47 @@
+/// @file
+/// A data process that serves opaque calls and batches through the gateway.
+#pragma once
+
+#include "assembly/data_cores.h"
+#include "gateway/gateway.h"
+#include "gateway/item_runner.h"
+#include "gateway/whole_call_server.h"
+#include "process/event_loop_node.h"
+#include "serving/call_ring.h"
+
+namespace shedshed {
+
+/// One process, from its start to its end. Runs on one event loop.
+class GatewayProcess {
+ public:
+  /// @p names and @p dialect are the wire forms that callers and engines speak; @p readyPath is
+  /// where readiness is asked for. Arguments must outlive the object.
+  GatewayProcess(const ProcessSettings& settings, const ProcessKeys& keys, HeaderNames names,
+                 const BatchDialect& dialect, std::string readyPath);
+
+  /// Runs until the platform asks to stop. Returns the exit code.
+  int run();
+
+ private:
+  void publishSettings(const RegisterValue& value);
+  GatewayAnswer answerReady(const WholeCall& call) const;
+  void drain();
+  bool idle();
+
+  const ProcessSettings& settings_;
+  const std::string readyPath_;
+  EventLoopNode node_;
+  DataCores cores_;
+  Snapshot<SettingsTree> settingsTree_;
+  RandomEngine random_;
+  EngineSelector selector_;
+  HeaderNames names_;
+  Forwarder forwarder_;
+  CallRing journal_;
+  GatewayServices services_;
+  OpaqueItemRunner items_;
+  Gateway gateway_;
+  WholeCallServer readiness_;
+};
+
+}  // namespace shedshed
--- a/src/process/node_process.cpp
+++ b/src/process/node_process.cpp
@@ -36,6 +36,9 @@
 }  // namespace
 
 Result<ProcessKeys> readProcessKeys(const ProcessSettings& settings) {
+  if (settings.fleetKeyFile == kOpenFleet) {
+    return ProcessKeys{};
+  }
   Result<FleetKey> fleetKey = readFleetKeyFile(settings.fleetKeyFile);
   if (!fleetKey) {
     return fleetKey.error();
--- a/src/process/node_process.h
+++ b/src/process/node_process.h
@@ -21,6 +21,11 @@
   std::string operatorKey;
 };
 
+/// In place of the path of a key file: the fleet has no secret. Internal messages are then framed
+/// and checked for damage with a key that everyone knows, and there is no bearer key of operators,
+/// so that nothing may be served that asks for one.
+inline constexpr const char* kOpenFleet = "open";
+
 /// Reads both key files. Fails with `InvalidArgument`; the detail names the file.
 Result<ProcessKeys> readProcessKeys(const ProcessSettings& settings);
 
--- a/src/process/signals.cpp
+++ b/src/process/signals.cpp
@@ -20,6 +20,8 @@
   const sigset_t signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // A hint to read the settings again. None of them changes what a running process does.
+  std::signal(SIGHUP, SIG_IGN);
 }
 
 void waitForStopSignal() {
--- a/src/process/signals.h
+++ b/src/process/signals.h
@@ -7,7 +7,7 @@
 namespace shedshed {
 
 /// Blocks the stop signals (SIGTERM, SIGINT) in the calling thread and all threads that it starts
-/// later, and ignores SIGPIPE. Called first in `main`.
+/// later, and ignores SIGPIPE and SIGHUP. Called first in `main`.
 void blockStopSignals();
 
 /// Waits until a stop signal arrives.
--- /dev/null
+++ b/src/process/state_process.cpp
@@ -0,0 +1,94 @@
+#include "process/state_process.h"
+
+#include "process/signals.h"
+#include "runtime/logging.h"
+
+#include <algorithm>
+
+namespace shedshed {
+namespace {
+
+constexpr Duration kStopMargin = std::chrono::milliseconds(1200);
+/// Time for the announcement that this node leaves to reach the others.
+constexpr std::chrono::milliseconds kLeaveNotice{300};
+constexpr std::chrono::milliseconds kHandOverPoll{50};
+
+constexpr std::uint64_t kMegabyte = 1U << 20U;
+/// Files of a ring on a small disk, and the largest file.
+constexpr std::uint32_t kSmallDiskFiles = 4;
+constexpr std::uint64_t kLargestFile = 16 * kMegabyte;
+/// Share of the disk that the ring takes, in percent.
+constexpr std::uint64_t kDiskPercent = 75;
+
+}  // namespace
+
+RingKnobs ringKnobsFor(std::uint32_t diskMegabytes) {
+  RingKnobs knobs;
+  const std::uint64_t room = diskMegabytes * kMegabyte * kDiskPercent / 100;
+  if (diskMegabytes == 0 || room >= knobs.fileBytes * knobs.fileCount) {
+    return knobs;
+  }
+  knobs.fileCount = kSmallDiskFiles;
+  knobs.fileBytes =
+      std::clamp(room / kSmallDiskFiles / kMegabyte, std::uint64_t{1}, kLargestFile / kMegabyte) *
+      kMegabyte;
+  return knobs;
+}
+
+StateProcess::StateProcess(const ProcessSettings& settings, const ProcessKeys& keys,
+                           RecordRing& ring)
+    : settings_(settings), storeId_(ring.storeId()), node_(settings, keys, &ring) {}
+
+void StateProcess::assemble(ListingSource& listing) {
+  const NodeOptions options = eventLoopOptions(settings_, storeId_);
+  cores_ = std::make_unique<ControlCores>(node_.runtime, options, &listing);
+  settingsVersions_ = std::make_unique<SettingsVersions>(cores_->registers);
+  if (settings_.firstStart && settings_.role == ControlRole::Register) {
+    bootstrap_ =
+        std::make_unique<FleetBootstrapCore>(node_.runtime.context(ServiceId::Bootstrap),
+                                             cores_->registers, cores_->directory, options.seeds);
+    node_.runtime.attach(ServiceId::Bootstrap, *bootstrap_);
+  }
+}
+
+int StateProcess::run(const Starter& start) {
+  Status started = start();
+  if (started) {
+    started = node_.runtime.start();
+  }
+  if (!started) {
+    logError("process", started.error());
+    node_.stop();
+    return 1;
+  }
+  logInfo("process", "serving as " + settings_.internalAddress.address);
+  waitForStopSignal();
+  drain();
+  node_.stop();
+  return 0;
+}
+
+void StateProcess::drain() {
+  logInfo("process", "draining");
+  node_.runtime.runAndWait([this] {
+    draining_ = true;
+    cores_->directory.announceDraining(true);
+  });
+  waitForStopSignal(kLeaveNotice);
+  const Time deadline = monotonicNow() + settings_.stopWarning - kStopMargin - kLeaveNotice;
+  bool done = handedOver();
+  while (!done && monotonicNow() < deadline) {
+    waitForStopSignal(kHandOverPoll);
+    done = handedOver();
+  }
+  logInfo("process", done ? "drained" : "stopping while partitions are still owned");
+}
+
+bool StateProcess::handedOver() {
+  bool done = true;
+  node_.runtime.runAndWait(
+      [this, &done] { done = !cores_->store || cores_->store->partitions.handedOver(); });
+  return done;
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/process/state_process.h
@@ -0,0 +1,51 @@
+/// @file
+/// A control process on one event loop: registers, the reader of the engine listing, and on store
+/// machines the partitions.
+#pragma once
+
+#include "assembly/control_cores.h"
+#include "operators/settings_versions.h"
+#include "process/event_loop_node.h"
+#include "register/fleet_bootstrap.h"
+#include "storage/record_ring.h"
+
+namespace shedshed {
+
+/// Sizes of the ring on a disk of @p diskMegabytes; the defaults for 0.
+RingKnobs ringKnobsFor(std::uint32_t diskMegabytes);
+
+/// One process, from its start to its end.
+class StateProcess {
+ public:
+  /// Takes part in the process: listens on the event loop before the process serves.
+  using Starter = std::function<Status()>;
+
+  /// @p listing reads the listing of engines on register nodes; it may use `node().loop`. Arguments
+  /// must outlive the object.
+  StateProcess(const ProcessSettings& settings, const ProcessKeys& keys, RecordRing& ring);
+
+  EventLoopNode& node() { return node_; }
+  ControlCores& cores() { return *cores_; }
+  SettingsVersions& settingsVersions() { return *settingsVersions_; }
+  bool draining() const { return draining_; }
+
+  /// Builds the cores. Called once, before `run`.
+  void assemble(ListingSource& listing);
+
+  /// Runs until the platform asks to stop. Returns the exit code. @p start is called first.
+  int run(const Starter& start);
+
+ private:
+  void drain();
+  bool handedOver();
+
+  const ProcessSettings& settings_;
+  const std::string storeId_;
+  EventLoopNode node_;
+  std::unique_ptr<ControlCores> cores_;
+  std::unique_ptr<SettingsVersions> settingsVersions_;
+  std::unique_ptr<FleetBootstrapCore> bootstrap_;
+  bool draining_ = false;
+};
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/register/self_admission.cpp
@@ -0,0 +1,123 @@
+#include "register/self_admission.h"
+
+#include <algorithm>
+
+namespace shedshed {
+namespace {
+
+constexpr TimerId kCheckTimer = 1;
+
+}  // namespace
+
+SelfAdmissionCore::SelfAdmissionCore(CoreContext& context, RegisterCore& registers,
+                                     const Directory& directory, Kind kind, std::string storeId,
+                                     std::function<bool()> holdsAllData,
+                                     std::function<std::vector<NodeId>()> retiring,
+                                     SelfAdmissionOptions options)
+    : context_(context), registers_(registers), directory_(directory), kind_(kind),
+      storeId_(std::move(storeId)), holdsAllData_(std::move(holdsAllData)),
+      retiring_(std::move(retiring)), options_(options) {}
+
+void SelfAdmissionCore::start() {
+  startedAt_ = context_.now();
+  context_.startTimer(kCheckTimer, options_.check);
+}
+
+void SelfAdmissionCore::receive(const NodeId&, const Message&) {}
+
+void SelfAdmissionCore::timerExpired(TimerId) {
+  context_.startTimer(kCheckTimer, options_.check);
+  check();
+}
+
+const std::vector<MemberList::Member>& SelfAdmissionCore::members() const {
+  const MemberList& list = registers_.knownMembers().list;
+  return kind_ == Kind::Acceptor ? list.acceptors : list.stores;
+}
+
+bool SelfAdmissionCore::isListed(const NodeId& id) const {
+  return std::any_of(members().begin(), members().end(),
+                     [&](const MemberList::Member& member) { return member.id == id; });
+}
+
+bool SelfAdmissionCore::isRetiring(const NodeId& id) const {
+  const std::vector<NodeId> retiring = retiring_();
+  return std::find(retiring.begin(), retiring.end(), id) != retiring.end();
+}
+
+void SelfAdmissionCore::watchMembers(const NodeTable& nodes) {
+  for (const MemberList::Member& member : members()) {
+    const auto [found, isNew] = silences_.try_emplace(member.id);
+    Silence& silence = found->second;
+    if (isNew) {
+      silence.since = context_.now();
+    }
+    const NodeInfo* node = nodes.find(member.id);
+    const bool dead = node != nullptr && node->state == NodeState::Dead;
+    if (dead != silence.isDead) {
+      silence.isDead = dead;
+      silence.since = context_.now();
+    }
+    silence.wasLive = silence.wasLive || (node != nullptr && !dead);
+  }
+}
+
+bool SelfAdmissionCore::isLost(const MemberList::Member& member) const {
+  const auto found = silences_.find(member.id);
+  if (found == silences_.end() || found->second.wasLive) {
+    return false;
+  }
+  const Duration needed = found->second.isDead ? options_.deadFor : options_.absentFor;
+  return context_.now() - found->second.since >= needed;
+}
+
+bool SelfAdmissionCore::isFirstSpare(const NodeTable& nodes) const {
+  const NodeRole role = kind_ == Kind::Acceptor ? NodeRole::Register : NodeRole::Store;
+  for (const NodeId& id : nodes.live(role)) {
+    if (!isListed(id) && !isRetiring(id)) {
+      return id == context_.self();
+    }
+  }
+  return false;
+}
+
+NodeId SelfAdmissionCore::placeToTake(const NodeTable& nodes) const {
+  if (isListed(context_.self())) {
+    return context_.self();
+  }
+  if (!isFirstSpare(nodes)) {
+    return {};
+  }
+  for (const MemberList::Member& member : members()) {
+    if (isRetiring(member.id) || isLost(member)) {
+      return member.id;
+    }
+  }
+  return {};
+}
+
+void SelfAdmissionCore::check() {
+  const bool isMember =
+      std::any_of(members().begin(), members().end(), [this](const MemberList::Member& member) {
+        return member.id == context_.self() && member.storeId == storeId_;
+      });
+  if (registers_.knownMembers().version == 0 || isMember || asking_ ||
+      isRetiring(context_.self())) {
+    return;
+  }
+  const std::shared_ptr<const NodeTable> nodes = directory_.table();
+  watchMembers(*nodes);
+  const NodeId place = placeToTake(*nodes);
+  if (place.empty() || !holdsAllData_()) {
+    return;
+  }
+  asking_ = true;
+  context_.logStateChange("asking for the place of " + place.address);
+  registers_.replaceMember(place, context_.self(), [this](const Result<MemberList>& list) {
+    asking_ = false;
+    context_.counters().add(list ? "members_admitted_total" : "member_admission_failures_total");
+    context_.logStateChange(list ? "admitted as a member" : "not admitted: " + list.error().detail);
+  });
+}
+
+}  // namespace shedshed
--- /dev/null
+++ b/src/register/self_admission.h
@@ -0,0 +1,82 @@
+/// @file
+/// Lets a machine with a new disk take the place of a lost member by itself.
+#pragma once
+
+#include "kernel/core.h"
+#include "membership/directory.h"
+#include "register/register_core.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace shedshed {
+
+/// Times of `SelfAdmissionCore`.
+struct SelfAdmissionOptions {
+  Duration check = std::chrono::milliseconds(250);  ///< Interval of the looks at the directory.
+  /// A member must have been held dead for this long before another machine takes its place.
+  Duration deadFor = std::chrono::milliseconds(1200);
+  /// The same for a member that the directory never showed since this process started.
+  Duration absentFor = std::chrono::milliseconds(3000);
+};
+
+/// Runs on every machine with a disk, as an acceptor or as a store. One that is no member with its
+/// present disk asks for a place:
+/// - its own one, if a member is listed at its address with another disk: that disk is gone;
+/// - that of a member that is dead and that was never live in the life of this process: this
+/// machine
+///   was put in its place. A member that falls silent later is never replaced by a machine that
+///   stood by: it may only be cut off;
+/// - that of a member that is to be retired.
+/// Of several machines that could take a place, the first in the order of ids does.
+///
+/// Safety does not rest on these guesses: a change of the members needs majorities of the old and
+/// of the new list, and a store asks only once it holds all data.
+class SelfAdmissionCore : public Core {
+ public:
+  enum class Kind { Acceptor, Store };
+
+  /// @p holdsAllData tells whether this machine may be counted; @p retiring lists the members whose
+  /// places are to be taken. References must outlive the core.
+  SelfAdmissionCore(CoreContext& context, RegisterCore& registers, const Directory& directory,
+                    Kind kind, std::string storeId, std::function<bool()> holdsAllData,
+                    std::function<std::vector<NodeId>()> retiring,
+                    SelfAdmissionOptions options = {});
+
+  void start() override;
+  void receive(const NodeId& from, const Message& message) override;
+  void timerExpired(TimerId timer) override;
+
+ private:
+  const std::vector<MemberList::Member>& members() const;
+  bool isListed(const NodeId& id) const;
+  void watchMembers(const NodeTable& nodes);
+  bool isLost(const MemberList::Member& member) const;
+  bool isRetiring(const NodeId& id) const;
+  /// True if this node is the first of the live machines of its kind that are no members.
+  bool isFirstSpare(const NodeTable& nodes) const;
+  /// The member whose place this machine should take; empty if none.
+  NodeId placeToTake(const NodeTable& nodes) const;
+  void check();
+
+  CoreContext& context_;
+  RegisterCore& registers_;
+  const Directory& directory_;
+  const Kind kind_;
+  const std::string storeId_;
+  std::function<bool()> holdsAllData_;
+  std::function<std::vector<NodeId>()> retiring_;
+  const SelfAdmissionOptions options_;
+  Time startedAt_{};
+  /// For each member that was never live since the start: since when it is held dead or absent.
+  struct Silence {
+    bool wasLive = false;
+    bool isDead = false;
+    Time since{};
+  };
+  std::map<NodeId, Silence> silences_;
+  bool asking_ = false;
+};
+
+}  // namespace shedshed
--- a/src/runtime/node_runtime.cpp
+++ b/src/runtime/node_runtime.cpp
@@ -75,7 +75,17 @@
 
 NodeRuntime::NodeRuntime(NodeId self, Transport& transport, DurableRecords* records,
                          Metrics& metrics, FatalHandler fatal)
+    : NodeRuntime(nullptr, std::move(self), transport, records, metrics, std::move(fatal)) {}
+
+NodeRuntime::NodeRuntime(boost::asio::io_context& loop, NodeId self, Transport& transport,
+                         DurableRecords* records, Metrics& metrics, FatalHandler fatal)
+    : NodeRuntime(&loop, std::move(self), transport, records, metrics, std::move(fatal)) {}
+
+NodeRuntime::NodeRuntime(boost::asio::io_context* sharedLoop, NodeId self, Transport& transport,
+                         DurableRecords* records, Metrics& metrics, FatalHandler fatal)
     : self_(std::move(self)), transport_(transport), metrics_(metrics), fatal_(std::move(fatal)),
+      ownLoop_(sharedLoop == nullptr ? std::make_unique<boost::asio::io_context>() : nullptr),
+      loop_(sharedLoop == nullptr ? *ownLoop_ : *sharedLoop),
       work_(boost::asio::make_work_guard(loop_)), wakeUp_(loop_), random_(seededEngine()) {
   if (records != nullptr) {
     disk_ = std::make_unique<DiskWriter>(
@@ -108,9 +118,11 @@
       }
     }
   });
-  thread_ = std::thread([this] { loop_.run(); });
-  return transport_.start(
+  // Whatever the transport delivers is queued behind the start of the cores.
+  const Status started = transport_.start(
       [this](const NodeId& from, Message message) { deliver(from, std::move(message)); });
+  thread_ = std::thread([this] { loop_.run(); });
+  return started;
 }
 
 void NodeRuntime::stop() {
@@ -118,15 +130,15 @@
     return;
   }
   stopped_ = true;
-  transport_.stop();
-  if (disk_) {
-    disk_->stop();
-  }
   work_.reset();
   loop_.stop();
   if (thread_.joinable()) {
     thread_.join();
   }
+  transport_.stop();
+  if (disk_) {
+    disk_->stop();
+  }
 }
 
 void NodeRuntime::post(std::function<void()> task) {
--- a/src/runtime/node_runtime.h
+++ b/src/runtime/node_runtime.h
@@ -33,6 +33,11 @@
   /// @p records is null on a node without a disk. Does not own its arguments.
   NodeRuntime(NodeId self, Transport& transport, DurableRecords* records, Metrics& metrics,
               FatalHandler fatal);
+
+  /// The same on the event loop @p loop, which must outlive it and which others may use as well:
+  /// their handlers then run on the core thread.
+  NodeRuntime(boost::asio::io_context& loop, NodeId self, Transport& transport,
+              DurableRecords* records, Metrics& metrics, FatalHandler fatal);
   ~NodeRuntime() override;
   NodeRuntime(const NodeRuntime&) = delete;
   NodeRuntime& operator=(const NodeRuntime&) = delete;
@@ -40,10 +45,10 @@
   CoreContext& context(ServiceId service) override;
   void attach(ServiceId service, Core& core) override;
 
-  /// Starts the cores in the order of their service ids, then the transport.
+  /// Starts the cores in the order of their service ids, and the transport.
   Status start();
 
-  /// Stops the transport, the core thread and the disk thread.
+  /// Stops the core thread, the transport and the disk thread.
   void stop();
 
   /// Runs @p task on the core thread. Any thread.
@@ -55,6 +60,9 @@
  private:
   class Context;
 
+  NodeRuntime(boost::asio::io_context* sharedLoop, NodeId self, Transport& transport,
+              DurableRecords* records, Metrics& metrics, FatalHandler fatal);
+
   void deliver(const NodeId& from, Message message);
   void armTimer();
   void fireTimers();
@@ -64,7 +72,8 @@
   Transport& transport_;
   Metrics& metrics_;
   FatalHandler fatal_;
-  boost::asio::io_context loop_;
+  const std::unique_ptr<boost::asio::io_context> ownLoop_;  ///< Null on a shared event loop.
+  boost::asio::io_context& loop_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   boost::asio::steady_timer wakeUp_;
   Time armedFor_ = Time::max();
--- /dev/null
+++ b/src/settings/item_change.h
@@ -0,0 +1,20 @@
+/// @file
+/// Changes of named items of the settings: a part of a whole, under a new named version.
+#pragma once
+
+#include "kernel/error.h"
+
+#include <string>
+#include <string_view>
+
+namespace shedshed {
+
+/// Applies @p change to the settings @p current and returns the new text.
+///
+/// The change is an object: `version` becomes that of the settings; `upsert` holds for each section
+/// (such as `routes`) the items to add, or to replace whole, by name; `remove` holds for each
+/// section an array of names. Names to be removed that do not exist are passed over. Fails with
+/// `InvalidArgument` or `TooLarge`.
+Result<std::string> applyItemChange(std::string_view current, std::string_view change);
+
+}  // namespace shedshed
--- a/src/settings/process_keys.cpp
+++ b/src/settings/process_keys.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <charconv>
+#include <cstdlib>
 #include <map>
+#include <optional>
 
 namespace shedshed {
 
@@ -10,7 +13,9 @@
 
 constexpr std::size_t kMaxSeeds = 16;
 constexpr std::size_t kMaxZoneBytes = 64;
-constexpr unsigned long kMaxPort = 65535;
+constexpr std::uint32_t kMaxPort = 65535;
+constexpr std::uint32_t kMostMegabytes = 1U << 30U;
+constexpr double kMostSeconds = 86400;
 
 bool storeRole(ProcessSettings& settings, const std::string& value) {
   settings.role = value == "store" ? ControlRole::Store : ControlRole::Register;
@@ -53,6 +58,49 @@
   };
 }
 
+/// Reads a whole number from 0 to @p most.
+std::optional<std::uint32_t> wholeNumber(const std::string& text, std::uint32_t most) {
+  std::uint32_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end || number > most) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+bool storeSeedPort(ProcessSettings& settings, const std::string& value) {
+  const auto port = wholeNumber(value, kMaxPort);
+  settings.seedPort = static_cast<std::uint16_t>(port.value_or(0));
+  return port.has_value() && *port > 0;
+}
+
+bool storeDisk(ProcessSettings& settings, const std::string& value) {
+  const auto megabytes = wholeNumber(value, kMostMegabytes);
+  settings.diskMegabytes = megabytes.value_or(0);
+  return megabytes.has_value();
+}
+
+bool storeFirstStart(ProcessSettings& settings, const std::string& value) {
+  settings.firstStart = value == "true";
+  return value == "true" || value == "false";
+}
+
+/// Reads seconds, with fractions, above 0.
+std::function<bool(ProcessSettings&, const std::string&)>
+storeSeconds(Duration ProcessSettings::*member) {
+  return [member](ProcessSettings& settings, const std::string& value) {
+    char* end = nullptr;
+    const double seconds = std::strtod(value.c_str(), &end);
+    const bool valid = !value.empty() && *end == '\0' && seconds > 0 && seconds <= kMostSeconds;
+    if (valid) {
+      settings.*member =
+          std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+    return valid;
+  };
+}
+
 bool isZone(const std::string& text) {
   return !text.empty() && text.size() <= kMaxZoneBytes;
 }
@@ -87,6 +135,13 @@
       {"data_folder", false, true, true, kPath, storeText(&P::dataFolder, isPath)},
       {"fleet_key_file", true, true, true, kPath, storeText(&P::fleetKeyFile, isPath)},
       {"operator_key_file", true, true, true, kPath, storeText(&P::operatorKeyFile, isPath)},
+      {"ready_address", true, false, false, kAddress, storeText(&P::readyAddress, isIpPort)},
+      {"listing_address", true, true, false, kAddress, storeText(&P::listingAddress, isIpPort)},
+      {"seed_port", true, true, false, "a port from 1 to 65535", storeSeedPort},
+      {"disk_mb", false, true, false, "whole megabytes", storeDisk},
+      {"first_start", false, true, false, "\"true\" or \"false\"", storeFirstStart},
+      {"quota_window_s", true, true, false, "seconds above 0", storeSeconds(&P::quotaWindow)},
+      {"stop_warning_s", true, true, false, "seconds above 0", storeSeconds(&P::stopWarning)},
       {"log_level", true, true, false, "\"error\", \"warn\", \"info\" or \"debug\"", storeLogLevel},
   };
   return table;
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -5,6 +5,7 @@
 
 #include "kernel/error.h"
 #include "kernel/node_id.h"
+#include "kernel/time.h"
 
 #include <cstdint>
 #include <string>
@@ -33,6 +34,13 @@
   std::string fleetKeyFile;
   std::string operatorKeyFile;
   LogLevel logLevel = LogLevel::Info;
+  std::string readyAddress;         ///< Data processes: where readiness is asked for; may be empty.
+  std::string listingAddress;       ///< "ip:port" of the listing of engines; empty: the register's.
+  std::uint16_t seedPort = 0;       ///< Replaces the port of each seed; 0: the seeds' own.
+  std::uint32_t diskMegabytes = 0;  ///< Room for the ring; 0: not bounded.
+  bool firstStart = false;          ///< The fleet starts for the first time.
+  Duration quotaWindow = std::chrono::seconds(5);   ///< Time over which quotas are counted.
+  Duration stopWarning = std::chrono::seconds(25);  ///< From the request to stop to the end.
 
   /// Text of `--help` or `--version`. If it is not empty, nothing else is filled in: the process
   /// prints it and exits with 0.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -3,6 +3,7 @@
 #include "settings/setting_field.h"
 #include "settings/settings_parser.h"
 
+#include <algorithm>
 #include <array>
 #include <sodium.h>
 
@@ -13,6 +14,9 @@
 /// Size of a key's digest (BLAKE2b-256), in bytes.
 constexpr std::size_t kDigestBytes = 32;
 
+/// Times that a refused item may come back before the results of its batch are due.
+constexpr int kRequeuesBeforeDue = 24;
+
 }  // namespace
 
 std::string_view settingLevelName(SettingLevel level) {
@@ -56,6 +60,11 @@
       field.apply(*applied.overrides, values);
     }
   }
+  // A refused item must come back well before the results of its batch are due.
+  const Duration due = routes_.shortestRunObjective();
+  if (due > Duration{0}) {
+    values.requeueDelay = std::min(values.requeueDelay, Duration(due / kRequeuesBeforeDue));
+  }
   return values;
 }
 
@@ -84,6 +93,18 @@
   return found->second;
 }
 
+bool SettingsTree::hasQuota(const std::string& tenant) const {
+  const auto found = tenants_.find(tenant);
+  const std::optional<double> own =
+      found == tenants_.end() ? std::nullopt : found->second.overrides.perSecond;
+  return own.value_or(fleet_.perSecond.value_or(0)) > 0;
+}
+
+std::optional<std::uint32_t> SettingsTree::priorityOf(const std::string& tenant) const {
+  const auto found = tenants_.find(tenant);
+  return found == tenants_.end() ? std::nullopt : found->second.priority;
+}
+
 std::vector<std::string> SettingsTree::tenants() const {
   std::vector<std::string> names;
   for (const auto& tenant : tenants_) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -4,6 +4,7 @@
 
 #include "kernel/error.h"
 #include "kernel/time.h"
+#include "settings/route_table.h"
 
 #include <cstdint>
 #include <map>
@@ -77,6 +78,21 @@
   /// Names of all tenants, sorted.
   std::vector<std::string> tenants() const;
 
+  /// The version that the operator gave to these settings; 0 if they name none.
+  std::uint64_t namedVersion() const { return namedVersion_; }
+
+  /// Routes, services and bounds of the callers' traffic.
+  const RouteTable& routes() const { return routes_; }
+
+  /// True if any tenant is listed: then a call needs a key, unless its route is public.
+  bool hasTenants() const { return !tenants_.empty(); }
+
+  /// True if the rate of @p tenant is bounded: it or the fleet names a `per_s` above 0.
+  bool hasQuota(const std::string& tenant) const;
+
+  /// Rank of @p tenant, 0 first; nullopt if the tenant names none.
+  std::optional<std::uint32_t> priorityOf(const std::string& tenant) const;
+
   /// Returns the digest under which @p bearerKey is listed.
   static std::string digestOfKey(std::string_view bearerKey);
 
@@ -102,6 +118,7 @@
     Overrides overrides;
     std::map<std::string, Overrides> routes;
     std::vector<CallerKey> keys;
+    std::optional<std::uint32_t> priority;
   };
   /// The levels that apply to one tenant and route, lowest first; absent ones are left out.
   struct AppliedLevel {
@@ -110,6 +127,8 @@
   };
   std::vector<AppliedLevel> levelsFor(const std::string& tenant, const std::string& route) const;
 
+  std::uint64_t namedVersion_ = 0;
+  RouteTable routes_;
   Overrides fleet_;
   std::map<std::string, Tenant> tenants_;
   std::unordered_map<std::string, std::string> tenantOfDigest_;  ///< Without withdrawn keys.
--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -3,6 +3,7 @@
 #include "settings/setting_field.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shedshed {
 
@@ -49,6 +50,11 @@
 /// Members of one level; larger than any level can have without an unknown key.
 constexpr std::size_t kMaxLevelMembers = 64;
 
+/// The largest whole number that a JSON number holds exactly.
+constexpr double kMaxNamedVersion = 9007199254740991.0;
+
+constexpr double kMaxPriority = 1000000;
+
 }  // namespace
 
 Result<SettingsTree> SettingsParser::parse(std::string_view json) {
@@ -67,16 +73,78 @@
       status = parseLevel(child, "/fleet", tree_.fleet_);
     } else if (name == "tenants") {
       status = parseTenants(child);
-    } else {
-      status = jsonError("/" + name, child, "no such key; the keys here are fleet, tenants");
+    } else if (name == "version") {
+      status = parseVersion(child);
+    } else if (name != "routes" && name != "services" && name != "limits") {
+      status = jsonError(
+          "/" + name, child,
+          "no such key; the keys here are fleet, tenants, version, routes, services, limits");
     }
     if (!status) {
       return status.error();
     }
   }
+  Result<RouteTable> routes = RouteTable::parse(root);
+  if (!routes) {
+    return routes.error();
+  }
+  tree_.routes_ = std::move(routes.value());
   return std::move(tree_);
 }
 
+Status SettingsParser::parseVersion(const cJSON* node) {
+  const bool valid = cJSON_IsNumber(node) && node->valuedouble >= 1 &&
+                     node->valuedouble <= kMaxNamedVersion &&
+                     std::floor(node->valuedouble) == node->valuedouble;
+  if (!valid) {
+    return jsonError("/version", node, "a whole number from 1");
+  }
+  tree_.namedVersion_ = static_cast<std::uint64_t>(node->valuedouble);
+  return okStatus();
+}
+
+Status SettingsParser::parsePriority(const cJSON* node, const std::string& path, Tenant& tenant) {
+  if (!cJSON_IsNumber(node) || node->valuedouble < 0 || node->valuedouble > kMaxPriority) {
+    return jsonError(path, node, "a whole number from 0");
+  }
+  tenant.priority = static_cast<std::uint32_t>(node->valuedouble);
+  return okStatus();
+}
+
+Status SettingsParser::parsePlainKeys(const cJSON* node, const std::string& path,
+                                      const std::string& tenantName, Tenant& tenant) {
+  const bool fits = cJSON_IsArray(node) &&
+                    static_cast<std::size_t>(cJSON_GetArraySize(node)) <= kMaxKeysPerTenant;
+  if (!fits) {
+    return jsonError(path, node,
+                     "an array of at most " + std::to_string(kMaxKeysPerTenant) + " keys");
+  }
+  for (const cJSON* child = node->child; child != nullptr; child = child->next) {
+    if (!cJSON_IsString(child) || child->valuestring[0] == '\0') {
+      return makeError(ErrorCode::InvalidArgument, path + ": a key must be a text");
+    }
+    CallerKey key{SettingsTree::digestOfKey(child->valuestring), false};
+    if (Status status = addKey(std::move(key), path, tenantName, tenant); !status) {
+      return status;
+    }
+  }
+  return okStatus();
+}
+
+Status SettingsParser::addKey(CallerKey key, const std::string& path, const std::string& tenantName,
+                              Tenant& tenant) {
+  const auto inserted = pathOfDigest_.emplace(key.digest, path);
+  if (!inserted.second) {
+    return makeError(ErrorCode::InvalidArgument,
+                     path + ": each key once; it also stands at " + inserted.first->second);
+  }
+  if (!key.withdrawn) {
+    tree_.tenantOfDigest_.emplace(key.digest, tenantName);
+  }
+  tenant.keys.push_back(std::move(key));
+  return okStatus();
+}
+
 Status SettingsParser::parseTenants(const cJSON* node) {
   if (Status status = checkObject(node, "/tenants", kMaxTenants); !status) {
     return status;
@@ -105,10 +173,15 @@
     Status status = okStatus();
     if (name == "keys") {
       status = parseKeys(child, childPath, tenantName, tenant);
+    } else if (name == "api_keys") {
+      status = parsePlainKeys(child, childPath, tenantName, tenant);
+    } else if (name == "priority") {
+      status = parsePriority(child, childPath, tenant);
     } else if (name == "routes") {
       status = parseRoutes(child, childPath, tenant);
     } else {
-      status = parseOverride(child, childPath, ", keys, routes", tenant.overrides);
+      status =
+          parseOverride(child, childPath, ", keys, api_keys, priority, routes", tenant.overrides);
     }
     if (!status) {
       return status;
@@ -176,16 +249,7 @@
   if (key.digest.empty()) {
     return jsonError(path + "/digest", nullptr, "64 lower-case hexadecimal digits");
   }
-  const auto inserted = pathOfDigest_.emplace(key.digest, path);
-  if (!inserted.second) {
-    return jsonError(path + "/digest", jsonMember(node, "digest"),
-                     "each digest once; it also stands at " + inserted.first->second);
-  }
-  if (!key.withdrawn) {
-    tree_.tenantOfDigest_.emplace(key.digest, tenantName);
-  }
-  tenant.keys.push_back(std::move(key));
-  return okStatus();
+  return addKey(std::move(key), path + "/digest", tenantName, tenant);
 }
 
 Status SettingsParser::parseLevel(const cJSON* node, const std::string& path,
--- a/src/settings/settings_parser.h
+++ b/src/settings/settings_parser.h
@@ -12,7 +12,7 @@
 class SettingsParser {
  public:
   /// Limits of the text of the settings.
-  static constexpr JsonBounds kBounds{1U << 20U, 8};
+  static constexpr JsonBounds kBounds{4U << 20U, 16};
   static constexpr std::size_t kMaxTenants = 4096;
   static constexpr std::size_t kMaxKeysPerTenant = 1000;
   static constexpr std::size_t kMaxRoutesPerTenant = 64;
@@ -34,6 +34,14 @@
                    Tenant& tenant);
   Status parseKey(const cJSON* node, const std::string& path, const std::string& tenantName,
                   Tenant& tenant);
+  /// Parses keys that are given in plain text; only their digests are kept.
+  Status parsePlainKeys(const cJSON* node, const std::string& path, const std::string& tenantName,
+                        Tenant& tenant);
+  Status addKey(CallerKey key, const std::string& path, const std::string& tenantName,
+                Tenant& tenant);
+  /// Parses the rank of a tenant.
+  static Status parsePriority(const cJSON* node, const std::string& path, Tenant& tenant);
+  Status parseVersion(const cJSON* node);
   /// Parses a level that holds overrides and nothing else.
   static Status parseLevel(const cJSON* node, const std::string& path, Overrides& overrides);
   /// Parses one key of a level. @p besides lists the other keys allowed there, for the error.
--- a/src/slots/pool_rates.cpp
+++ b/src/slots/pool_rates.cpp
@@ -4,7 +4,8 @@
 
 namespace shedshed {
 
-SettingsPoolRates::SettingsPoolRates(ConfigurationSource& configuration) {
+SettingsPoolRates::SettingsPoolRates(ConfigurationSource& configuration, Duration quotaWindow)
+    : quotaWindow_(quotaWindow) {
   configuration.subscribe(kSettingsRegister, [this](const RegisterValue& value) {
     Result<SettingsTree> parsed = SettingsTree::parse(value.value);
     if (parsed) {
@@ -22,7 +23,9 @@
     route = separator == std::string::npos ? "" : pool.key.substr(separator + 1);
   }
   const EffectiveSettings settings = tree_.effective(tenant, route);
-  return {settings.perSecond, settings.burst};
+  // Settings with routes are those of a fleet whose operators name each rate that they mean.
+  const bool unlimited = !tree_.routes().empty() && !tree_.hasQuota(tenant);
+  return {settings.perSecond, settings.burst, unlimited};
 }
 
 std::vector<PoolName> SettingsPoolRates::tenantPools() const {
--- a/src/slots/pool_rates.h
+++ b/src/slots/pool_rates.h
@@ -13,14 +13,20 @@
 namespace shedshed {
 
 /// Limiters with a pool of their own.
-inline constexpr const char* kTenantLimiter = "tenant";  ///< Key: tenant name.
-inline constexpr const char* kRouteLimiter = "route";    ///< Key: "tenant/route".
-inline constexpr const char* kBatchLimiter = "batch";    ///< Key: model.
+inline constexpr const char* kTenantLimiter = "tenant";    ///< Key: tenant name.
+inline constexpr const char* kRouteLimiter = "route";      ///< Key: "tenant/route".
+inline constexpr const char* kBatchLimiter = "batch";      ///< Key: model.
+inline constexpr const char* kQuotaLimiter = "quota";      ///< Key: tenant name; see `SlotLimit`.
+inline constexpr const char* kServiceLimiter = "service";  ///< Key: service; calls of no tenant.
+
+/// Time over which quotas are counted if the process settings name none.
+inline constexpr Duration kDefaultQuotaWindow = std::chrono::seconds(5);
 
 /// What the settings say about one pool.
 struct PoolRate {
   double perSecond = 0;     ///< Sustained requests per second.
   std::uint32_t burst = 0;  ///< Slots above the sustained need.
+  bool unlimited = false;   ///< The settings name no rate: only the engines' room bounds the pool.
 };
 
 /// Rates in force. Core thread only.
@@ -39,20 +45,26 @@
 
   /// The longest time to live of any slot.
   virtual Duration longestTimeToLive() const = 0;
+
+  /// The time over which quotas are counted.
+  virtual Duration quotaWindow() const { return kDefaultQuotaWindow; }
 };
 
 /// Rates from the "settings" register. A value that does not parse leaves the last one in force.
 class SettingsPoolRates : public PoolRateSource {
  public:
   /// Subscribes to @p configuration; this object must outlive it.
-  explicit SettingsPoolRates(ConfigurationSource& configuration);
+  explicit SettingsPoolRates(ConfigurationSource& configuration,
+                             Duration quotaWindow = kDefaultQuotaWindow);
 
   PoolRate rate(const PoolName& pool) const override;
   std::vector<PoolName> tenantPools() const override;
   double batchReserve() const override;
   Duration longestTimeToLive() const override;
+  Duration quotaWindow() const override { return quotaWindow_; }
 
  private:
+  const Duration quotaWindow_;
   SettingsTree tree_;
 };
 
--- a/src/slots/pool_sizer.cpp
+++ b/src/slots/pool_sizer.cpp
@@ -24,6 +24,11 @@
   return static_cast<std::uint32_t>(std::max(0.0, sustained)) + rate.burst;
 }
 
+std::uint32_t quotaPoolSize(const PoolRate& rate, Duration window) {
+  const double sustained = std::floor(rate.perSecond * seconds(window) + kRoundingTolerance);
+  return static_cast<std::uint32_t>(std::max(0.0, sustained)) + rate.burst;
+}
+
 std::uint32_t readyEngineRoom(const EngineTable& engines, const std::string& model) {
   std::uint32_t room = 0;
   for (const EngineInfo& engine : engines.engines) {
@@ -43,6 +48,11 @@
   result.rate = rates_.rate(pool);
   result.hold = hold(pool);
   result.scale = scale_;
+  if (result.rate.unlimited) {
+    result.unscaled = std::max(readyEngineRoom(*engines_.table()), 1U);
+    result.size = result.unscaled;
+    return result;
+  }
   result.unscaled = unscaledPoolSize(result.rate, result.hold);
   const double scaled = std::floor(result.unscaled * scale_ + kRoundingTolerance);
   const std::uint32_t least = std::min(result.unscaled, 1U);
@@ -86,7 +96,8 @@
   const std::uint32_t room = readyEngineRoom(*engines_.table());
   std::uint64_t total = 0;
   for (const PoolName& pool : rates_.tenantPools()) {
-    total += unscaledPoolSize(rates_.rate(pool), hold(pool));
+    const PoolRate rate = rates_.rate(pool);
+    total += rate.unlimited ? 0 : unscaledPoolSize(rate, hold(pool));
   }
   if (room == 0 || total <= room) {
     return 1;
--- a/src/slots/pool_sizer.h
+++ b/src/slots/pool_sizer.h
@@ -37,6 +37,9 @@
 /// Returns ceil(perSecond × hold) + burst (Little's law).
 std::uint32_t unscaledPoolSize(const PoolRate& rate, Duration hold);
 
+/// Returns how many requests may begin in one @p window.
+std::uint32_t quotaPoolSize(const PoolRate& rate, Duration window);
+
 /// Returns the sum of `maxRunning` over the ready engines, of @p model or (empty) of all.
 std::uint32_t readyEngineRoom(const EngineTable& engines, const std::string& model = {});
 
--- a/src/slots/slot_client.h
+++ b/src/slots/slot_client.h
@@ -28,6 +28,9 @@
   Duration block{0};       ///< Opt-in wait before a refusal.
   Duration poll{0};        ///< Interval between tries while blocked; varied by half of it.
   Duration timeToLive{0};  ///< Slot TTL.
+  /// The number is neither renewed nor given back: it bounds how many requests begin in one time to
+  /// live. Only a request that another limit refuses gives it back.
+  bool untilExpiry = false;
 };
 
 /// A request for slots under all of `limits`.
@@ -35,6 +38,8 @@
   std::string requestId;
   SlotClass serviceClass = SlotClass::Live;
   std::vector<SlotLimit> limits;
+  /// Time after which a store that does not answer is decided by the fail mode; 0: the default.
+  Duration storeDeadline{0};
 };
 
 /// Granted slots, held until `SlotClient::release`.
--- a/src/slots/slot_client_core.cpp
+++ b/src/slots/slot_client_core.cpp
@@ -124,7 +124,8 @@
   acquisition.redirects = 0;
   acquisition.requests = 0;
   acquisition.firstSentAt = context_.now();
-  acquisition.storeDeadline = context_.now() + options_.storeDeadline;
+  const Duration own = acquisition.request.storeDeadline;
+  acquisition.storeDeadline = context_.now() + (own > Duration{0} ? own : options_.storeDeadline);
   ask(id);
 }
 
@@ -195,8 +196,12 @@
   }
   acquisition.claim.number = reply.claim.number;
   asking_.erase(acquisition.claim.token);
-  holder_.add(acquisition.claim, acquisition.firstSentAt);
-  acquisition.taken.push_back(acquisition.claim.token);
+  if (currentLimit(acquisition).untilExpiry) {
+    acquisition.expiring.push_back(acquisition.claim);
+  } else {
+    holder_.add(acquisition.claim, acquisition.firstSentAt);
+    acquisition.taken.push_back(acquisition.claim.token);
+  }
   SlotGrant::Slot& slot = acquisition.slots[acquisition.order[acquisition.position]];
   slot = {acquisition.claim.pool(), acquisition.claim.number, false};
   ++acquisition.position;
@@ -265,6 +270,10 @@
     holder_.release(token);
   }
   acquisition.taken.clear();
+  for (const SlotClaim& claim : acquisition.expiring) {
+    holder_.abandon(claim);
+  }
+  acquisition.expiring.clear();
 }
 
 void SlotClientCore::finishGranted(std::uint64_t id) {
--- a/src/slots/slot_client_core.h
+++ b/src/slots/slot_client_core.h
@@ -65,6 +65,7 @@
     std::size_t position = 0;        ///< Limit being asked, in `order`.
     std::vector<SlotGrant::Slot> slots;
     std::vector<OwnerToken> taken;
+    std::vector<SlotClaim> expiring;  ///< Of limits that hold until expiry.
     Time blockUntil;
     bool polling = false;
     // The try at the current limit:
--- a/src/slots/slot_owner_core.cpp
+++ b/src/slots/slot_owner_core.cpp
@@ -1,6 +1,7 @@
 #include "slots/slot_owner_core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -145,7 +146,21 @@
 
 // ---- Sizes
 
+std::uint32_t SlotOwnerCore::openNumbers(const PoolName& name, SlotClass serviceClass) const {
+  const std::uint32_t size = poolSize(name);
+  if (serviceClass == SlotClass::Live || name.limiter != kTenantLimiter) {
+    return size;
+  }
+  return static_cast<std::uint32_t>(std::ceil(size * kItemShareOfTenantPool));
+}
+
 std::uint32_t SlotOwnerCore::poolSize(const PoolName& name) const {
+  if (name.limiter == kQuotaLimiter) {
+    return quotaPoolSize(rates_.rate(name), rates_.quotaWindow());
+  }
+  if (name.limiter == kServiceLimiter) {
+    return std::max(readyEngineRoom(*engines_.table(), name.key), 1U);
+  }
   if (name.limiter != kBatchLimiter) {
     return sizer_.size(name).size;
   }
--- a/src/slots/slot_owner_core.h
+++ b/src/slots/slot_owner_core.h
@@ -33,6 +33,8 @@
 inline constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 /// A lending limit that was not repeated for this long counts as 0.
 inline constexpr Duration kLendingLimitLifetime = std::chrono::seconds(3);
+/// Share of a tenant's numbers that its batch items may take; the rest is for its live calls.
+inline constexpr double kItemShareOfTenantPool = 0.75;
 
 struct SlotOwnerOptions {
   SlotSafeguards safeguards;
@@ -110,6 +112,8 @@
   SlotPool& poolOf(OwnedPartition& owned, const PoolName& name);
   HeldNumber* heldBy(const PartitionId& partition, std::uint64_t epoch, const SlotClaim& claim);
   std::uint32_t poolSize(const PoolName& name) const;
+  /// The numbers of the pool that a holder of @p serviceClass may take.
+  std::uint32_t openNumbers(const PoolName& name, SlotClass serviceClass) const;
   void loadTable(const PartitionId& partition, OwnedPartition& owned);
   void loadRow(OwnedPartition& owned, std::string_view key, const std::string& value);
   Time expiryOf(const SlotClaim& claim) const;
--- a/src/slots/slot_owner_requests.cpp
+++ b/src/slots/slot_owner_requests.cpp
@@ -36,8 +36,12 @@
     refuse(from, request, SlotOutcome::NotReady);
     return;
   }
-  const std::uint32_t size = poolSize(name);
-  const std::optional<std::uint32_t> number = pool.probe(size, context_.random());
+  const std::uint32_t size = openNumbers(name, request.claim.serviceClass);
+  std::optional<std::uint32_t> number = pool.probe(size, context_.random());
+  if (!number) {
+    expirePool(partition, pool);  // What has expired since the last tick is free.
+    number = pool.probe(size, context_.random());
+  }
   if (!number) {
     context_.counters().add("slot_refusals_total");
     refuse(from, request, SlotOutcome::Full, size);
--- /dev/null
+++ b/tests/engines/engine_list_core_test.cpp
@@ -0,0 +1,128 @@
+#include "engines/engine_list_core.h"
+#include "membership/test_fleet.h"
+
+using namespace shedshed;
+using namespace shedshed::test;
+
+namespace {
+
+/// Answers at once, unless it is told to fail or to be silent.
+class FakeListing : public ListingSource {
+ public:
+  void read(std::function<void(Result<std::vector<EngineInfo>>)> done) override {
+    ++reads;
+    if (silent) {
+      return;
+    }
+    if (fails) {
+      done(makeError(ErrorCode::EngineFailed));
+      return;
+    }
+    done(engines);
+  }
+  std::vector<EngineInfo> engines;
+  bool fails = false;
+  bool silent = false;
+  int reads = 0;
+};
+
+EngineInfo engineOf(const std::string& id, EngineState state = EngineState::Ready) {
+  EngineInfo engine;
+  engine.id = id;
+  engine.address = "10.0.0.1:80";
+  engine.model = "s";
+  engine.maxRunning = 8;
+  engine.state = state;
+  return engine;
+}
+
+constexpr int kRegisters = 3;
+constexpr int kNodes = 6;
+
+/// Nodes 0 to 2 read listings of their own, nodes 3 to 5 only ask.
+struct ListFleet {
+  ListFleet() {
+    for (int index = 0; index < kNodes; ++index) {
+      fleet.start(index, index < kRegisters ? NodeRole::Register : NodeRole::Data);
+    }
+    fleet.advance(5);
+    for (int index = 0; index < kNodes; ++index) {
+      listings[index].engines = {engineOf("e1"), engineOf("e2")};
+      HarnessContext& context =
+          fleet.harness.context(fleet.id(index).address, ServiceId::EngineList);
+      lists[index] =
+          std::make_unique<EngineListCore>(context, *fleet.cores.at(fleet.id(index)),
+                                           index < kRegisters ? &listings[index] : nullptr);
+      fleet.harness.attach(context, *lists[index]);
+      lists[index]->start();
+    }
+    fleet.advance(2);
+  }
+  int reads() const {
+    int total = 0;
+    for (const auto& entry : listings) {
+      total += entry.second.reads;
+    }
+    return total;
+  }
+  void setAll(const std::vector<EngineInfo>& engines) {
+    for (auto& entry : listings) {
+      entry.second.engines = engines;
+    }
+  }
+  TestFleet fleet;
+  std::map<int, FakeListing> listings;
+  std::map<int, std::unique_ptr<EngineListCore>> lists;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(engine_list)
+
+BOOST_FIXTURE_TEST_CASE(one_node_reads_for_all, ListFleet) {
+  for (int index = 0; index < kNodes; ++index) {
+    BOOST_TEST(lists[index]->table()->engines.size() == 2U);
+  }
+  const int before = reads();
+  fleet.advance(10);
+  int readers = 0;
+  for (const auto& entry : listings) {
+    readers += entry.second.reads > 0 ? 1 : 0;
+  }
+  BOOST_TEST(readers == 1);
+  // About two readings a second, however many nodes ask.
+  BOOST_TEST(reads() - before <= 25);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_draining_engine_is_known_everywhere_within_a_second, ListFleet) {
+  setAll({engineOf("e1", EngineState::Draining), engineOf("e2")});
+  fleet.harness.advance(std::chrono::milliseconds(1100));
+  for (int index = kRegisters; index < kNodes; ++index) {
+    BOOST_TEST((lists[index]->table()->engines[0].state == EngineState::Draining));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_reader_that_cannot_read_is_passed_over, ListFleet) {
+  for (auto& entry : listings) {
+    entry.second.fails = entry.second.reads > 0;  // The present reader is cut from the source.
+  }
+  setAll({engineOf("e1", EngineState::Draining), engineOf("e2")});
+  fleet.harness.advance(std::chrono::milliseconds(2800));
+  for (int index = kRegisters; index < kNodes; ++index) {
+    BOOST_TEST((lists[index]->table()->engines[0].state == EngineState::Draining));
+    BOOST_TEST(toMilliseconds(fleet.harness.now - lists[index]->provedAt()) < 2500);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_reader_that_is_silent_is_passed_over, ListFleet) {
+  for (auto& entry : listings) {
+    entry.second.silent = entry.second.reads > 0;
+  }
+  setAll({engineOf("e1", EngineState::Draining), engineOf("e2")});
+  fleet.harness.advance(std::chrono::milliseconds(2800));
+  for (int index = kRegisters; index < kNodes; ++index) {
+    BOOST_TEST((lists[index]->table()->engines[0].state == EngineState::Draining));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -104,6 +104,10 @@
                   std::function<void(Result<std::vector<UnfinishedItem>>)> done) override {
     done(std::vector<UnfinishedItem>{{from, ItemState::Started, R"({"model":"m"})"}});
   }
+  void itemBody(const std::string&, const std::string&, const std::string&,
+                std::function<void(Result<std::string>)> done) override {
+    done(makeError(ErrorCode::NotFound));
+  }
   void cancel(const std::string& tenant, const std::string& id, StatusDone done) override {
     status(tenant, id, done);
   }
