Quota shares by what the front has seen; unused parts of the gateway removed

A tenant that was not refused by its quota within the last window has its burst unused: its share may hold it. Also: RouteFilter's unused services, a header name that nothing read, a wrong doc comment.

--- a/src/gateway/call_filters.cpp
+++ b/src/gateway/call_filters.cpp
@@ -82,7 +82,6 @@
   opaque.idempotent = route.kind == RouteKind::Safe || opaque.resumable;
   opaque.maxAttempts = std::max(route.maxAttempts, 1U);
   opaque.deadline = std::min(opaque.deadline, call.arrived + route.timeout);
-  (void)services_;
   return GatewayStep::Continue;
 }
 
@@ -128,8 +127,9 @@
   const auto fronts =
       std::count_if(nodes->nodes.begin(), nodes->nodes.end(),
                     [](const NodeInfo& node) { return node.role == NodeRole::Data; });
-  return shares_.take(call.call.tenant, settings.perSecond, static_cast<std::size_t>(fronts),
-                      services_.core.now());
+  const SharedQuota quota{settings.perSecond, static_cast<double>(settings.burst),
+                          static_cast<std::size_t>(fronts)};
+  return shares_.take(call.call.tenant, quota, services_.core.now());
 }
 
 Result<GatewayStep> TenantSlotFilter::apply(GatewayCall& call, boost::asio::yield_context yield) {
@@ -138,6 +138,11 @@
   };
   const auto grant = awaitCore<Result<SlotGrant>>(services_.core, yield, acquire);
   if (!grant) {
+    const bool overQuota = grant.error().code == ErrorCode::PoolFull &&
+                           grant.error().detail.rfind(kQuotaLimiter, 0) == 0;
+    if (overQuota) {
+      shares_.noteRefusal(call.call.tenant, services_.core.now());
+    }
     return grant.error();
   }
   call.slots = SlotLease(services_.core, services_.slots, grant.value().grantId);
--- a/src/gateway/call_filters.h
+++ b/src/gateway/call_filters.h
@@ -21,11 +21,7 @@
 /// Finds the route by host and path, and what it allows.
 class RouteFilter : public GatewayFilter {
  public:
-  explicit RouteFilter(GatewayServices& services) : services_(services) {}
   Result<GatewayStep> apply(GatewayCall& call, boost::asio::yield_context yield) override;
-
- private:
-  GatewayServices& services_;
 };
 
 /// Finds the tenant of the key. Public routes, and settings without tenants, need none.
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -72,8 +72,8 @@
   /// Serves one call; false if the connection must be closed.
   bool serve(boost::asio::yield_context yield);
   bool waitForCall(Duration idle, boost::asio::yield_context yield);
-  /// Reads a call. Null if the connection is to be closed without an answer; `refusal_` is set if
-  /// the call must be refused before its body is read.
+  /// Reads a call. False if the connection is to be closed without an answer; `refusal_` is set if
+  /// the call must be refused, and the connection closed.
   bool readCall(Parser& parser, const CallerBounds& bounds, SessionWriter& writer,
                 boost::asio::yield_context yield);
   void takeCall(Parser& parser, GatewayCall& call);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,7 +23,7 @@
       acceptor_(services.io) {
   shared_.filters.push_back(std::make_unique<SettingsInForceFilter>(services));
   shared_.filters.push_back(std::make_unique<BatchFilter>(services, dialect));
-  shared_.filters.push_back(std::make_unique<RouteFilter>(services));
+  shared_.filters.push_back(std::make_unique<RouteFilter>());
   shared_.filters.push_back(std::make_unique<TenantFilter>());
   shared_.filters.push_back(std::make_unique<TenantSlotFilter>(services));
   shared_.filters.push_back(std::make_unique<OpaqueForwardFilter>(services));
--- a/src/gateway/gateway_call.h
+++ b/src/gateway/gateway_call.h
@@ -32,9 +32,8 @@
   StreamSink& sink;
   CallAbort abort;
   Time arrived{};
-  std::string key;     ///< Of the caller; empty if it gave none. Never leaves this tier.
-  OpaqueCall call;     ///< Headers, body and target as they came; the rest is set by the filters.
-  std::string waitMs;  ///< Time that the caller lets a read of results wait, as it said.
+  std::string key;  ///< Of the caller; empty if it gave none. Never leaves this tier.
+  OpaqueCall call;  ///< Headers, body and target as they came; the rest is set by the filters.
 
   std::shared_ptr<const SettingsTree> settings;  ///< Set by the settings filter.
   const RouteSettings* route = nullptr;          ///< Set by the route filter; part of `settings`.
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -10,7 +10,6 @@
 struct HeaderNames {
   std::string requestId = "X-Request-Id";      ///< Of a call, echoed in its answer.
   std::string deadline = "X-Deadline-Ms";      ///< Milliseconds that the caller still waits.
-  std::string model = "X-Model";               ///< Model that the call asks for.
   std::string tokenCount = "X-Token-Count";    ///< Tokens of the prompt, and most out.
   std::string promptParts = "X-Prompt-Parts";  ///< Parts of the prompt as "ID:TOKENS,…".
   std::string tenant = "X-Tenant";             ///< Tenant's name, towards engines.
--- a/src/gateway/quota_share.h
+++ b/src/gateway/quota_share.h
@@ -9,22 +9,39 @@
 
 namespace shedshed {
 
-/// A token bucket per tenant that fills with this front's share of the tenant's rate. It starts
-/// with one token and holds hardly more: the quota's numbers may all have been taken just before
-/// the store fell silent, and a burst of all fronts on top of them would break the quota. Not
-/// thread-safe.
+/// What the settings say of a tenant's quota, and among how many fronts it is shared.
+struct SharedQuota {
+  double perSecond = 0;
+  double burst = 0;
+  std::size_t fronts = 1;
+};
+
+/// A token bucket per tenant that holds this front's share of the tenant's rate and burst.
+///
+/// The bucket of a tenant that was refused a number of its quota within `kRefusalMemory` holds no
+/// burst: its numbers may all have been taken just before the store fell silent, and a burst of all
+/// fronts on top of them would break the quota. Not thread-safe.
 class QuotaShare {
  public:
-  /// Takes one token. @p fronts is the number of fronts that share the quota.
+  /// Time for which a refusal counts: the longest window of a quota.
+  static constexpr Duration kRefusalMemory = std::chrono::seconds(6);
+
+  /// Takes one token.
   /// @return false if the share is used up
-  bool take(const std::string& tenant, double perSecond, std::size_t fronts, Time now);
+  bool take(const std::string& tenant, const SharedQuota& quota, Time now);
+
+  /// The store has refused a number of the tenant's quota.
+  void noteRefusal(const std::string& tenant, Time now) { refusals_[tenant] = now; }
 
  private:
   struct Bucket {
     double tokens = 0;
     Time filledAt{};
   };
+  bool wasRefused(const std::string& tenant, Time now) const;
+
   std::map<std::string, Bucket> buckets_;
+  std::map<std::string, Time> refusals_;  ///< The last one of each tenant.
 };
 
 }  // namespace shedshed
