Slots of a lost holder are free before a batch is due

Cause: numbers held by a killed front stayed taken for 60 s (calls) and 70 s (items), the lent room of its items with them, although the results of a batch are due in seconds. Where routes name a due time the time to live is three quarters of it, at least 4 s. Ruled out: dropping them when the directory holds the front dead (it may only be cut off and still run them). Test: route_table (failed first). Not measured yet.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -17,6 +17,10 @@
 /// Times that a refused item may come back before the results of its batch are due.
 constexpr int kRequeuesBeforeDue = 24;
 
+/// The shortest time to live of slots that follows from a due time; a paused holder must not lose
+/// its slots at once.
+constexpr Duration kShortestDerivedTtl = std::chrono::seconds(4);
+
 }  // namespace
 
 std::string_view settingLevelName(SettingLevel level) {
@@ -64,6 +68,10 @@
   const Duration due = routes_.shortestRunObjective();
   if (due > Duration{0}) {
     values.requeueDelay = std::min(values.requeueDelay, Duration(due / kRequeuesBeforeDue));
+    // What a killed front held must be free again before then, too.
+    const Duration longest = std::max(Duration(due * 3 / 4), kShortestDerivedTtl);
+    values.liveSlotTtl = std::min(values.liveSlotTtl, longest);
+    values.itemSlotTtl = std::min(values.itemSlotTtl, longest);
   }
   return values;
 }
--- a/tests/settings/route_table_test.cpp
+++ b/tests/settings/route_table_test.cpp
@@ -78,6 +78,18 @@
   BOOST_TEST(toMilliseconds(delay) < 1000);
 }
 
+/// A killed front's items kept their numbers for 70 s, and the lent room with them.
+BOOST_AUTO_TEST_CASE(slots_of_a_lost_holder_are_free_before_a_batch_is_due) {
+  const auto tree = SettingsTree::parse(
+      settingsWith(route("a", "/x/", R"("service":"s1","run_target_ms":8000)")));
+  BOOST_REQUIRE(tree);
+  const EffectiveSettings settings = tree.value().effective("t", "");
+  BOOST_TEST((settings.itemSlotTtl == std::chrono::seconds(6)));
+  BOOST_TEST((settings.liveSlotTtl == std::chrono::seconds(6)));
+  const auto plain = SettingsTree::parse("{}");
+  BOOST_TEST((plain.value().effective("t", "").itemSlotTtl == std::chrono::seconds(70)));
+}
+
 BOOST_AUTO_TEST_CASE(items_are_added_replaced_and_removed_by_name) {
   const std::string base = settingsWith(route("a", "/x/") + "," + route("b", "/y/"));
   const auto changed =
