--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,6 +37,11 @@
   return listening;
 }
 
+void Gateway::stopAccepting() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
 void Gateway::accept() {
   // The socket's executor must be the strand of its calls.
   const ServingStrand strand(services_.io.get_executor());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,10 @@
   /// Fails with `InvalidArgument` when the address cannot be bound.
   Status start();
 
+  /// Takes no new connection any more: callers are refused at once and go elsewhere. Calls on open
+  /// connections are still served.
+  void stopAccepting();
+
   /// Calls under way.
   std::size_t activeCalls() const { return shared_.activeCalls; }
 
--- a/src/process/gateway_process.cpp
+++ b/src/process/gateway_process.cpp
@@ -103,10 +103,16 @@
   });
   const Time begun = monotonicNow();
   const Time deadline = begun + settings_.stopWarning - kStopMargin;
-  bool done = false;
+  while (monotonicNow() - begun < kLateCallers) {
+    waitForStopSignal(kDrainPoll);
+  }
+  // A platform with few ready processes sends callers all the same; those that come now would be
+  // cut.
+  node_.runtime.runAndWait([this] { gateway_.stopAccepting(); });
+  bool done = idle();
   while (!done && monotonicNow() < deadline) {
     waitForStopSignal(kDrainPoll);
-    done = monotonicNow() - begun >= kLateCallers && idle();
+    done = idle();
   }
   logInfo("process", done ? "drained" : "stopping with calls still running");
 }
