--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -158,13 +158,25 @@
   if (buffer_.size() > 0) {
     return true;
   }
+  if (shared_.stopping) {
+    return false;
+  }
   SocketDeadline deadline(strand_, socket_);
   deadline.arm(idle);
   error_code failed;
+  shared_.waiting.insert(this);
   socket_.async_wait(net::ip::tcp::socket::wait_read, yield[failed]);
+  shared_.waiting.erase(this);
   return !failed;
 }
 
+void CallerSession::closeIfIdle() {
+  error_code failed;
+  if (socket_.available(failed) == 0 || failed) {
+    socket_.close(failed);
+  }
+}
+
 bool CallerSession::readCall(Parser& parser, const CallerBounds& bounds, SessionWriter& writer,
                              net::yield_context yield) {
   parser.header_limit(static_cast<std::uint32_t>(bounds.maxHeaderBytes));
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -12,15 +12,20 @@
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace shedshed {
 
+class CallerSession;
+
 /// What all connections of a gateway share.
 struct GatewayShared {
   GatewayServices& services;
   std::vector<std::unique_ptr<GatewayFilter>> filters;  ///< In the order of their use.
   std::size_t activeCalls = 0;
+  bool stopping = false;             ///< No session waits for a further call.
+  std::set<CallerSession*> waiting;  ///< Sessions between two calls.
 };
 
 /// Writes answers to a caller. Every write is bounded in time.
@@ -66,6 +71,9 @@
 
   void run(boost::asio::yield_context yield);
 
+  /// Closes the connection if no byte of a further call has come: its caller goes elsewhere.
+  void closeIfIdle();
+
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,11 @@
 void Gateway::stopAccepting() {
   error_code ignored;
   acceptor_.close(ignored);
+  shared_.stopping = true;
+  const std::set<CallerSession*> waiting = shared_.waiting;
+  for (CallerSession* session : waiting) {
+    session->closeIfIdle();
+  }
 }
 
 void Gateway::accept() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,8 +22,8 @@
   /// Fails with `InvalidArgument` when the address cannot be bound.
   Status start();
 
-  /// Takes no new connection any more: callers are refused at once and go elsewhere. Calls on open
-  /// connections are still served.
+  /// Takes no new connection any more, and closes those between two calls: their callers go
+  /// elsewhere. Calls under way are still served.
   void stopAccepting();
 
   /// Calls under way.
