--- a/tests/sim_known_red/open_faults_test.cpp
+++ b/tests/sim_known_red/open_faults_test.cpp
@@ -8,3 +8,8 @@
 BOOST_AUTO_TEST_CASE(a_draining_engine_gets_no_request_from_a_front_without_its_watchers) {
   requireNoViolation("chaos", 1);
 }
+
+// Two live holders of one number (docs/PROOFS.md, "Found" 8).
+BOOST_AUTO_TEST_CASE(a_number_has_one_live_holder_under_chaos) {
+  requireNoViolation("chaos", 36);
+}
