Quota numbers expire one after the other at the tenant's rate

Ruled out: the tenants' slots (4 refusals), the fronts' shares (some 80), the stores' failure. Change: the owner lets each number of a quota expire 1/rate after the one before, which is a bucket of tokens: N = burst + a tenth of a second of the rate; any time t passes at most rate x t + N. The setting quota_window_s has no use any more and is gone.

--- a/src/assembly/control_cores.cpp
+++ b/src/assembly/control_cores.cpp
@@ -37,9 +37,8 @@
                        ConfigurationCore& configuration, EngineSource& engines)
     : partitions(host.context(ServiceId::Partition), directory, configuration,
                  PartitionOptions{options.self.storeId, options.safeguards.partitions}),
-      rates(configuration, options.quotaWindow),
-      slots(host.context(ServiceId::SlotOwner), partitions, rates, engines, directory,
-            slotOwnerOptions(options)),
+      rates(configuration), slots(host.context(ServiceId::SlotOwner), partitions, rates, engines,
+                                  directory, slotOwnerOptions(options)),
       lending(host.context(ServiceId::Lending), partitions, rates, engines, directory,
               options.lending),
       batches(host.context(ServiceId::BatchOwner), partitions, configuration, directory,
--- a/src/assembly/node_options.h
+++ b/src/assembly/node_options.h
@@ -40,7 +40,6 @@
   NodeInfo self;              ///< Id, role, zone and addresses.
   std::vector<NodeId> seeds;  ///< Internal addresses of other processes.
   Safeguards safeguards;
-  Duration quotaWindow = kDefaultQuotaWindow;  ///< Time over which quotas are counted.
   BatchOptions batches;
   Duration storeDeadline = kStoreDeadline;  ///< See `SlotClientOptions`.
   DirectoryOptions directory;
--- a/src/gateway/call_filters.cpp
+++ b/src/gateway/call_filters.cpp
@@ -15,11 +15,6 @@
 constexpr Duration kShortestStoreWait = std::chrono::milliseconds(40);
 constexpr Duration kLongestStoreWait = std::chrono::milliseconds(300);
 
-/// Rows of quotas would expire late by the owner's margin, which would lower the rate.
-Duration quotaTimeToLive(Duration window) {
-  return std::max(window - kExpiryMargin, Duration(std::chrono::milliseconds(100)));
-}
-
 /// A number from 0 to below 1 that follows from the id.
 double pointOf(const std::string& id) {
   constexpr double kSteps = 1U << 20U;
@@ -114,7 +109,6 @@
   request.limits.push_back(limit);
   if (!tenant.empty() && call.settings->hasQuota(tenant)) {
     limit.pool = {kQuotaLimiter, tenant};
-    limit.timeToLive = quotaTimeToLive(services_.quotaWindow);
     limit.untilExpiry = true;
     request.limits.push_back(limit);
   }
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -31,7 +31,6 @@
   Forwarder& forwarder;
   ServingCounters& counters;
   HeaderNames names;
-  Duration quotaWindow = std::chrono::seconds(5);
   bool draining = false;  ///< Every answer closes its connection.
   CallJournal* journal = &NoCallJournal::instance();
 };
--- a/src/process/event_loop_node.cpp
+++ b/src/process/event_loop_node.cpp
@@ -31,7 +31,6 @@
   for (const NodeId& seed : settings.seeds) {
     options.seeds.push_back(settings.seedPort == 0 ? seed : withPort(seed, settings.seedPort));
   }
-  options.quotaWindow = settings.quotaWindow;
   options.directory.pingInterval = kPingInterval;
   options.lending.growthPerTick = kLendingGrowth;
   options.lending.reserveHorizon = kLiveHold;
--- a/src/settings/process_keys.cpp
+++ b/src/settings/process_keys.cpp
@@ -141,7 +141,6 @@
       {"seed_port", true, true, false, "a port from 1 to 65535", storeSeedPort},
       {"disk_mb", false, true, false, "whole megabytes", storeDisk},
       {"first_start", false, true, false, "\"true\" or \"false\"", storeFirstStart},
-      {"quota_window_s", true, true, false, "seconds above 0", storeSeconds(&P::quotaWindow)},
       {"stop_warning_s", true, true, false, "seconds above 0", storeSeconds(&P::stopWarning)},
       {"log_level", true, true, false, "\"error\", \"warn\", \"info\" or \"debug\"", storeLogLevel},
   };
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -40,7 +40,6 @@
   std::uint16_t seedPort = 0;       ///< Replaces the port of each seed; 0: the seeds' own.
   std::uint32_t diskMegabytes = 0;  ///< Room for the ring; 0: not bounded.
   bool firstStart = false;          ///< The fleet starts for the first time.
-  Duration quotaWindow = std::chrono::seconds(5);   ///< Time over which quotas are counted.
   Duration stopWarning = std::chrono::seconds(25);  ///< From the request to stop to the end.
 
   /// Text of `--help` or `--version`. If it is not empty, nothing else is filled in: the process
--- a/src/slots/pool_rates.cpp
+++ b/src/slots/pool_rates.cpp
@@ -4,8 +4,7 @@
 
 namespace shedshed {
 
-SettingsPoolRates::SettingsPoolRates(ConfigurationSource& configuration, Duration quotaWindow)
-    : quotaWindow_(quotaWindow) {
+SettingsPoolRates::SettingsPoolRates(ConfigurationSource& configuration) {
   configuration.subscribe(kSettingsRegister, [this](const RegisterValue& value) {
     Result<SettingsTree> parsed = SettingsTree::parse(value.value);
     if (parsed) {
--- a/src/slots/pool_rates.h
+++ b/src/slots/pool_rates.h
@@ -19,9 +19,6 @@
 inline constexpr const char* kQuotaLimiter = "quota";      ///< Key: tenant name; see `SlotLimit`.
 inline constexpr const char* kServiceLimiter = "service";  ///< Key: service; calls of no tenant.
 
-/// Time over which quotas are counted if the process settings name none.
-inline constexpr Duration kDefaultQuotaWindow = std::chrono::seconds(5);
-
 /// What the settings say about one pool.
 struct PoolRate {
   double perSecond = 0;     ///< Sustained requests per second.
@@ -45,26 +42,20 @@
 
   /// The longest time to live of any slot.
   virtual Duration longestTimeToLive() const = 0;
-
-  /// The time over which quotas are counted.
-  virtual Duration quotaWindow() const { return kDefaultQuotaWindow; }
 };
 
 /// Rates from the "settings" register. A value that does not parse leaves the last one in force.
 class SettingsPoolRates : public PoolRateSource {
  public:
   /// Subscribes to @p configuration; this object must outlive it.
-  explicit SettingsPoolRates(ConfigurationSource& configuration,
-                             Duration quotaWindow = kDefaultQuotaWindow);
+  explicit SettingsPoolRates(ConfigurationSource& configuration);
 
   PoolRate rate(const PoolName& pool) const override;
   std::vector<PoolName> tenantPools() const override;
   double batchReserve() const override;
   Duration longestTimeToLive() const override;
-  Duration quotaWindow() const override { return quotaWindow_; }
 
  private:
-  const Duration quotaWindow_;
   SettingsTree tree_;
 };
 
--- a/src/slots/pool_sizer.cpp
+++ b/src/slots/pool_sizer.cpp
@@ -24,9 +24,9 @@
   return static_cast<std::uint32_t>(std::max(0.0, sustained)) + rate.burst;
 }
 
-std::uint32_t quotaPoolSize(const PoolRate& rate, Duration window) {
-  const double sustained = std::floor(rate.perSecond * seconds(window) + kRoundingTolerance);
-  return static_cast<std::uint32_t>(std::max(0.0, sustained)) + rate.burst;
+std::uint32_t quotaPoolSize(const PoolRate& rate) {
+  const double uneven = std::floor(rate.perSecond * seconds(kQuotaEvenness) + kRoundingTolerance);
+  return static_cast<std::uint32_t>(std::max(1.0, uneven)) + rate.burst;
 }
 
 std::uint32_t readyEngineRoom(const EngineTable& engines, const std::string& model) {
--- a/src/slots/pool_sizer.h
+++ b/src/slots/pool_sizer.h
@@ -37,8 +37,14 @@
 /// Returns ceil(perSecond × hold) + burst (Little's law).
 std::uint32_t unscaledPoolSize(const PoolRate& rate, Duration hold);
 
-/// Returns how many requests may begin in one @p window.
-std::uint32_t quotaPoolSize(const PoolRate& rate, Duration window);
+/// A quota lets this much of its rate begin at once even without a burst: calls of a steady tenant
+/// do not come evenly.
+inline constexpr Duration kQuotaEvenness = std::chrono::milliseconds(100);
+
+/// Returns how many requests of a quota may begin at once: its burst, and `kQuotaEvenness` of its
+/// rate, at least one. As the numbers expire one after the other at the rate, at most
+/// per second × t + this many requests begin in any time t.
+std::uint32_t quotaPoolSize(const PoolRate& rate);
 
 /// Returns the sum of `maxRunning` over the ready engines, of @p model or (empty) of all.
 std::uint32_t readyEngineRoom(const EngineTable& engines, const std::string& model = {});
--- a/src/slots/slot_client.h
+++ b/src/slots/slot_client.h
@@ -28,8 +28,8 @@
   Duration block{0};       ///< Opt-in wait before a refusal.
   Duration poll{0};        ///< Interval between tries while blocked; varied by half of it.
   Duration timeToLive{0};  ///< Slot TTL.
-  /// The number is neither renewed nor given back: it bounds how many requests begin in one time to
-  /// live. Only a request that another limit refuses gives it back.
+  /// The number is neither renewed nor given back: its owner lets it expire, and so bounds how many
+  /// requests begin in any time. Only a request that another limit refuses gives it back.
   bool untilExpiry = false;
 };
 
--- a/src/slots/slot_owner_core.cpp
+++ b/src/slots/slot_owner_core.cpp
@@ -173,7 +173,7 @@
 
 std::uint32_t SlotOwnerCore::poolSize(const PoolName& name) const {
   if (name.limiter == kQuotaLimiter) {
-    return quotaPoolSize(rates_.rate(name), rates_.quotaWindow());
+    return quotaPoolSize(rates_.rate(name));
   }
   if (name.limiter == kServiceLimiter) {
     return std::max(readyEngineRoom(*engines_.table(), name.key), 1U);
@@ -232,6 +232,18 @@
 
 // ---- Housekeeping
 
+/// The numbers of a quota expire one after the other at its rate, as a bucket of tokens fills up
+/// again. A rate of 0 leaves them their own time to live.
+Time SlotOwnerCore::firstExpiry(const SlotPool& pool, const SlotClaim& claim) const {
+  const double perSecond = rates_.rate(pool.name()).perSecond;
+  if (pool.name().limiter != kQuotaLimiter || perSecond <= 0) {
+    return expiryOf(claim);
+  }
+  const auto interval = std::chrono::duration<double>(1 / perSecond);
+  return std::max(context_.now(), pool.latestExpiry()) +
+         std::chrono::duration_cast<Duration>(interval);
+}
+
 Time SlotOwnerCore::expiryOf(const SlotClaim& claim) const {
   return context_.now() + std::chrono::milliseconds(claim.timeToLiveMilliseconds) + kExpiryMargin;
 }
--- a/src/slots/slot_owner_core.h
+++ b/src/slots/slot_owner_core.h
@@ -128,6 +128,7 @@
   std::uint32_t lentRoom() const;
   void loadTable(const PartitionId& partition, OwnedPartition& owned);
   void loadRow(OwnedPartition& owned, std::string_view key, const std::string& value);
+  Time firstExpiry(const SlotPool& pool, const SlotClaim& claim) const;
   Time expiryOf(const SlotClaim& claim) const;
   std::uint32_t countSlots(SlotClass serviceClass) const;
 
--- a/src/slots/slot_owner_requests.cpp
+++ b/src/slots/slot_owner_requests.cpp
@@ -80,7 +80,11 @@
   HeldNumber held;
   held.row = {request.claim, from};
   held.row.claim.number = number;
-  held.expiresAt = expiryOf(request.claim);
+  held.expiresAt = firstExpiry(poolOf(current, name), request.claim);
+  if (name.limiter == kQuotaLimiter) {
+    // A successor lets the number expire after as long a time again.
+    held.row.claim.timeToLiveMilliseconds = toMilliseconds(held.expiresAt - context_.now()) + 1;
+  }
   held.acquiredAt = context_.now();
   held.writeOutstanding = true;
   const SlotClaim claim = held.row.claim;
--- a/src/slots/slot_pool.cpp
+++ b/src/slots/slot_pool.cpp
@@ -2,6 +2,8 @@
 
 #include "kernel/rendezvous.h"
 
+#include <algorithm>
+
 namespace shedshed {
 
 std::string poolHash(const PoolName& pool) {
@@ -65,6 +67,14 @@
   numbers_.erase(found);
 }
 
+Time SlotPool::latestExpiry() const {
+  Time latest = Time::min();
+  for (const auto& held : numbers_) {
+    latest = std::max(latest, held.second.expiresAt);
+  }
+  return latest;
+}
+
 std::uint32_t SlotPool::used(SlotClass serviceClass) const {
   std::uint32_t count = 0;
   for (const auto& held : numbers_) {
--- a/src/slots/slot_pool.h
+++ b/src/slots/slot_pool.h
@@ -71,6 +71,9 @@
   void put(std::uint32_t number, HeldNumber held);
   void erase(std::uint32_t number);
 
+  /// When the last of the held numbers expires; `Time::min()` if none is held.
+  Time latestExpiry() const;
+
   /// Slots held by holders of @p serviceClass.
   std::uint32_t used(SlotClass serviceClass) const;
 
