Acceptors are all small disks up to nine, not the three seeds; register nodes without a disk

With three acceptors two lost disks leave no majority: the acknowledged configuration is gone for good (LOST, CONFIG). Cause: FleetBootstrapCore took its seeds, of which a platform names three, as the acceptors, and the deploy file placed one register node in a zone. Class: redundancy that is fixed by how the fleet is started and not by what it promises. Change: the acceptors are the live register nodes with a disk, taken from the zones in turn, up to nine; tolerated_losses says how many disks may go, and a fleet with too few acceptors waits 6 s and is then formed with a log line and fleet_members_missing. A spare without a disk no longer stands in the way of one that has one. Ruled out: forming from all register nodes without a bound (quorums grow with the fleet).

--- a/sim/sim_fleet.cpp
+++ b/sim/sim_fleet.cpp
@@ -94,7 +94,7 @@
   std::vector<NodeId> acceptors = controls();
   std::optional<bool> formed;
   control(stores_[0])
-      ->registers.formFleet(acceptors, stores_, [&formed](const Result<MemberList>& members) {
+      ->registers.formFleet(acceptors, stores_, 0, [&formed](const Result<MemberList>& members) {
         formed = static_cast<bool>(members);
       });
   world_.runUntil([&formed] { return formed.has_value(); }, kFormLimit);
--- a/src/assembly/control_cores.cpp
+++ b/src/assembly/control_cores.cpp
@@ -5,7 +5,7 @@
 
 RegisterOptions acceptorOptions(const NodeOptions& options) {
   RegisterOptions registers;
-  registers.hasDisk = true;
+  registers.hasDisk = !options.self.storeId.empty();
   registers.storeId = options.self.storeId;
   registers.safeguards = options.safeguards.registers;
   return registers;
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -3,6 +3,7 @@
 #include "engines/engine_listing.h"
 #include "process/node_status.h"
 #include "process/signals.h"
+#include "register/fleet_bootstrap.h"
 #include "runtime/logging.h"
 
 namespace shedshed {
@@ -32,10 +33,13 @@
 }
 
 ControlProcess::ControlProcess(const ProcessSettings& settings, const ProcessKeys& keys,
-                               RecordRing& ring)
-    : settings_(settings), process_(settings, keys, &ring),
-      cores_(process_.runtime(), nodeOptions(settings, ring.storeId())),
-      forming_(cores_.registers), services_{cores_.registers} {
+                               RecordRing* ring)
+    : settings_(settings), process_(settings, keys, ring),
+      cores_(process_.runtime(),
+             nodeOptions(settings, ring == nullptr ? std::string() : ring->storeId())),
+      forming_(cores_.registers,
+               static_cast<std::uint32_t>(membersNeeded(settings.toleratedLosses))),
+      services_{cores_.registers} {
   services_.fleetForming = &forming_;
   services_.checkEngines = &checkEngineListing;
   services_.status = [this] { return status(); };
--- a/src/control/control_process.h
+++ b/src/control/control_process.h
@@ -14,14 +14,17 @@
 /// Forms fleets for the operators' `init` command by the node's register service.
 class RegisterFleetForming : public FleetForming {
  public:
-  explicit RegisterFleetForming(RegisterCore& registers) : registers_(registers) {}
+  /// @p replicas stores hold each partition of the fleet.
+  RegisterFleetForming(RegisterCore& registers, std::uint32_t replicas)
+      : registers_(registers), replicas_(replicas) {}
   void formFleet(std::vector<NodeId> acceptors, std::vector<NodeId> stores,
                  std::function<void(Result<MemberList>)> done) override {
-    registers_.formFleet(std::move(acceptors), std::move(stores), std::move(done));
+    registers_.formFleet(std::move(acceptors), std::move(stores), replicas_, std::move(done));
   }
 
  private:
   RegisterCore& registers_;
+  const std::uint32_t replicas_;
 };
 
 /// Admits this store by the node's register service, with the progress of its partition service.
@@ -62,8 +65,9 @@
 /// One control process, from its start to its end.
 class ControlProcess {
  public:
-  /// @p ring must be open. Arguments must outlive the object.
-  ControlProcess(const ProcessSettings& settings, const ProcessKeys& keys, RecordRing& ring);
+  /// @p ring must be open; null on a register node without a disk. Arguments must outlive the
+  /// object.
+  ControlProcess(const ProcessSettings& settings, const ProcessKeys& keys, RecordRing* ring);
 
   /// Runs until the platform asks to stop. Returns the exit code.
   int run();
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -17,12 +17,15 @@
   }
   PosixFileSystem files;
   RandomEngine random(std::random_device{}());
-  Result<std::unique_ptr<RecordRing>> ring =
-      RecordRing::open(files, start.settings()->dataFolder, RingKnobs{}, random);
-  if (!ring) {
-    logError("storage", ring.error());
-    return 1;
+  std::unique_ptr<RecordRing> ring;
+  if (!start.settings()->dataFolder.empty()) {
+    auto opened = RecordRing::open(files, start.settings()->dataFolder, RingKnobs{}, random);
+    if (!opened) {
+      logError("storage", opened.error());
+      return 1;
+    }
+    ring = std::move(opened).value();
   }
-  ControlProcess process(*start.settings(), start.keys(), *ring.value());
+  ControlProcess process(*start.settings(), start.keys(), ring.get());
   return process.run();
 }
--- a/src/process/state_process.cpp
+++ b/src/process/state_process.cpp
@@ -36,17 +36,20 @@
 }
 
 StateProcess::StateProcess(const ProcessSettings& settings, const ProcessKeys& keys,
-                           RecordRing& ring)
-    : settings_(settings), storeId_(ring.storeId()), node_(settings, keys, &ring) {}
+                           RecordRing* ring)
+    : settings_(settings), storeId_(ring == nullptr ? std::string() : ring->storeId()),
+      node_(settings, keys, ring) {}
 
 void StateProcess::assemble(ListingSource& listing) {
   const NodeOptions options = eventLoopOptions(settings_, storeId_);
   cores_ = std::make_unique<ControlCores>(node_.runtime, options, &listing);
   settingsVersions_ = std::make_unique<SettingsVersions>(cores_->registers);
   if (settings_.firstStart && settings_.role == ControlRole::Register) {
-    bootstrap_ =
-        std::make_unique<FleetBootstrapCore>(node_.runtime.context(ServiceId::Bootstrap),
-                                             cores_->registers, cores_->directory, options.seeds);
+    FleetBootstrapOptions bootstrap;
+    bootstrap.toleratedLosses = settings_.toleratedLosses;
+    bootstrap_ = std::make_unique<FleetBootstrapCore>(node_.runtime.context(ServiceId::Bootstrap),
+                                                      cores_->registers, cores_->directory,
+                                                      options.seeds, bootstrap);
     node_.runtime.attach(ServiceId::Bootstrap, *bootstrap_);
   }
   assembleAdmission();
@@ -55,6 +58,9 @@
 void StateProcess::assembleAdmission() {
   retirements_ =
       std::make_unique<Retirements>(cores_->registers, cores_->configuration, cores_->directory);
+  if (storeId_.empty()) {
+    return;
+  }
   auto holdsAllData = [] { return true; };
   auto places = [] { return std::vector<NodeId>(); };
   std::function<bool()> mayBeCounted = holdsAllData;
--- a/src/process/state_process.h
+++ b/src/process/state_process.h
@@ -22,9 +22,9 @@
   /// Takes part in the process: listens on the event loop before the process serves.
   using Starter = std::function<Status()>;
 
-  /// @p listing reads the listing of engines on register nodes; it may use `node().loop`. Arguments
-  /// must outlive the object.
-  StateProcess(const ProcessSettings& settings, const ProcessKeys& keys, RecordRing& ring);
+  /// @p ring is null on a register node without a disk: it takes operators' calls and reads the
+  /// listing, and votes in nothing. Arguments must outlive the object.
+  StateProcess(const ProcessSettings& settings, const ProcessKeys& keys, RecordRing* ring);
 
   EventLoopNode& node() { return node_; }
   ControlCores& cores() { return *cores_; }
@@ -32,7 +32,8 @@
   Retirements& retirements() { return *retirements_; }
   bool draining() const { return draining_; }
 
-  /// Builds the cores. Called once, before `run`.
+  /// Builds the cores. Called once, before `run`. @p listing reads the listing of engines on
+  /// register nodes; it may use `node().loop` and must outlive the object.
   void assemble(ListingSource& listing);
 
   /// Runs until the platform asks to stop. Returns the exit code. @p start is called first.
@@ -50,8 +51,8 @@
   std::unique_ptr<SettingsVersions> settingsVersions_;
   std::unique_ptr<FleetBootstrapCore> bootstrap_;
   std::unique_ptr<Retirements> retirements_;
-  std::unique_ptr<SuccessorCore> successor_;  ///< Null on register nodes.
-  std::unique_ptr<SelfAdmissionCore> admission_;
+  std::unique_ptr<SuccessorCore> successor_;      ///< Null on register nodes.
+  std::unique_ptr<SelfAdmissionCore> admission_;  ///< Null without a disk.
   bool draining_ = false;
 };
 
--- a/src/register/configuration_core.cpp
+++ b/src/register/configuration_core.cpp
@@ -88,8 +88,10 @@
   wanted_.erase(registerName);
   held = value;
   context_.counters().add("configuration_adopted_total");
+  context_.counters().set("configuration_value_bytes_" + registerName,
+                          static_cast<double>(value.value.size()));
   context_.logStateChange(registerName + " version " + std::to_string(value.version) +
-                          " is in force");
+                          " is in force, " + std::to_string(value.value.size()) + " bytes");
   const auto listeners = listeners_[registerName];
   for (const auto& listener : listeners) {
     listener(value);
--- a/src/register/configuration_register.h
+++ b/src/register/configuration_register.h
@@ -31,8 +31,9 @@
     MSGPACK_DEFINE(id, storeId);
   };
   std::vector<Member> acceptors;  ///< Voters of the registers.
-  std::vector<Member> stores;     ///< Replicas of the partitions.
-  MSGPACK_DEFINE(acceptors, stores);
+  std::vector<Member> stores;     ///< Holders of the partitions. Their places are never reordered.
+  std::uint32_t replicas = 0;     ///< Stores that hold one partition; 0: all. Never changes.
+  MSGPACK_DEFINE(acceptors, stores, replicas);
 };
 
 /// A register's value. Version 0 with an empty value means that it was never written.
--- a/src/register/fleet_bootstrap.h
+++ b/src/register/fleet_bootstrap.h
@@ -14,21 +14,36 @@
 struct FleetBootstrapOptions {
   Duration check = std::chrono::milliseconds(200);    ///< Interval of the looks at the directory.
   Duration settle = std::chrono::milliseconds(1200);  ///< The set of stores was the same for this.
-  /// A node that isn't the first of the acceptors forms the fleet only after this time.
+  /// A node that isn't the first of the seeds forms the fleet only after this time.
   Duration patience = std::chrono::seconds(6);
+  /// Disks that may be lost at once without the loss of anything acknowledged.
+  std::uint32_t toleratedLosses = 1;
 };
 
-/// Forms the fleet of the given acceptors and of all stores that the directory shows, once, and
-/// only if the platform said that this is the first start of the whole fleet.
+/// Most acceptors of the registers; further register nodes with a disk stand by for a lost one.
+inline constexpr std::size_t kMostAcceptors = 9;
+
+/// Acceptors or replicas of which a majority is left when @p toleratedLosses are gone.
+constexpr std::size_t membersNeeded(std::size_t toleratedLosses) {
+  return 2 * toleratedLosses + 1;
+}
+
+/// Forms the fleet of all register nodes with a disk and all stores that the directory shows, once,
+/// and only if the platform said that this is the first start of the whole fleet.
+///
+/// Acceptors: an acknowledged change survives the loss of `toleratedLosses` disks only if a
+/// majority is larger than that, which takes `membersNeeded` acceptors. The seeds alone may be
+/// fewer, so the other register nodes are acceptors too, up to `kMostAcceptors`. A fleet that has
+/// fewer than needed waits for them for `patience` and is then formed with a warning in the log.
 ///
 /// Safety: `FleetFormation` writes nothing unless every machine of the list is empty or holds the
 /// same list. A machine that lost its disk is not told that this is the first start, and its new
 /// store id makes another list, so no second history can begin.
 class FleetBootstrapCore : public Core {
  public:
-  /// Keeps references; they must outlive it. @p acceptors are the same on all nodes.
+  /// Keeps references; they must outlive it. @p seeds are register nodes, the same on all nodes.
   FleetBootstrapCore(CoreContext& context, RegisterCore& registers, const Directory& directory,
-                     std::vector<NodeId> acceptors, FleetBootstrapOptions options = {});
+                     std::vector<NodeId> seeds, FleetBootstrapOptions options = {});
 
   void start() override;
   void receive(const NodeId& from, const Message& message) override;
@@ -37,15 +52,21 @@
  private:
   bool isFormed() const { return registers_.knownMembers().version != 0; }
   bool mayForm();
+  bool seedsAreLive(const NodeTable& nodes) const;
+  /// Live register nodes with a disk, taken from the zones in turn, seeds first.
+  std::vector<NodeId> chooseAcceptors(const NodeTable& nodes) const;
+  /// The live stores, taken from the zones in turn, so that neighbours lie in different zones.
+  std::vector<NodeId> chooseStores(const NodeTable& nodes) const;
   void form();
 
   CoreContext& context_;
   RegisterCore& registers_;
   const Directory& directory_;
-  std::vector<NodeId> acceptors_;
+  std::vector<NodeId> seeds_;
   const FleetBootstrapOptions options_;
   Time startedAt_{};
   Time settledSince_{};
+  std::vector<NodeId> acceptors_;
   std::vector<NodeId> stores_;
   bool forming_ = false;
 };
--- a/src/register/fleet_formation.cpp
+++ b/src/register/fleet_formation.cpp
@@ -13,14 +13,23 @@
   ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
 }
 
+/// Keeps the order, which decides which stores hold a partition together.
+void dropRepeated(std::vector<NodeId>& ids) {
+  std::set<NodeId> seen;
+  ids.erase(std::remove_if(ids.begin(), ids.end(),
+                           [&seen](const NodeId& id) { return !seen.insert(id).second; }),
+            ids.end());
+}
+
 }  // namespace
 
 FleetFormation::FleetFormation(ProposalHost& host, OperationId id, std::vector<NodeId> acceptors,
-                               std::vector<NodeId> stores, FormationDone done)
+                               std::vector<NodeId> stores, std::uint32_t replicas,
+                               FormationDone done)
     : host_(host), id_(id), acceptors_(std::move(acceptors)), stores_(std::move(stores)),
-      done_(std::move(done)) {
+      replicas_(replicas), done_(std::move(done)) {
   sortAndUnify(acceptors_);
-  sortAndUnify(stores_);
+  dropRepeated(stores_);
 }
 
 void FleetFormation::start() {
@@ -79,6 +88,7 @@
   MemberList list;
   list.acceptors = membersOf(acceptors_);
   list.stores = membersOf(stores_);
+  list.replicas = replicas_;
   const std::uint64_t content = initialMembersState(list).entry.content;
   for (const auto& identity : identities_) {
     const std::uint64_t other = identity.second.initialContent;
--- a/src/register/fleet_formation.h
+++ b/src/register/fleet_formation.h
@@ -21,7 +21,7 @@
 class FleetFormation {
  public:
   FleetFormation(ProposalHost& host, OperationId id, std::vector<NodeId> acceptors,
-                 std::vector<NodeId> stores, FormationDone done);
+                 std::vector<NodeId> stores, std::uint32_t replicas, FormationDone done);
 
   void start();
   void identityAnswered(const NodeId& from, const IdentityAnswer& answer);
@@ -41,6 +41,7 @@
   const OperationId id_;
   std::vector<NodeId> acceptors_;
   std::vector<NodeId> stores_;
+  const std::uint32_t replicas_;
   FormationDone done_;
   std::optional<Result<MemberList>> result_;
   std::map<NodeId, IdentityAnswer> identities_;
--- a/src/register/register_core.cpp
+++ b/src/register/register_core.cpp
@@ -147,11 +147,11 @@
 }
 
 void RegisterCore::formFleet(std::vector<NodeId> acceptors, std::vector<NodeId> stores,
-                             FormationDone done) {
+                             std::uint32_t replicas, FormationDone done) {
   const OperationId id = ++lastOperation_;
   auto& formation = formations_[id];
   formation = std::make_unique<FleetFormation>(host(), id, std::move(acceptors), std::move(stores),
-                                               std::move(done));
+                                               replicas, std::move(done));
   formation->start();
   reportFinished();
 }
--- a/src/register/register_core.h
+++ b/src/register/register_core.h
@@ -44,10 +44,13 @@
   /// @p known. One at a time; a read that is still open is given up with `NoQuorum`.
   void proveCurrent(std::map<std::string, std::uint64_t> known, QuorumReader::Done done);
 
-  /// Forms a fleet of the machines at these addresses. Idempotent for the same lists and disks;
+  /// Forms a fleet of the machines at these addresses, in which @p replicas stores hold each
+  /// partition, neighbours in the order of @p stores; 0 means all. Idempotent for the same lists
+  /// and disks;
   /// otherwise fails with `AlreadyExists`. `NoQuorum`: nothing was written; `OutcomeUnknown`: send
   /// the same order again.
-  void formFleet(std::vector<NodeId> acceptors, std::vector<NodeId> stores, FormationDone done);
+  void formFleet(std::vector<NodeId> acceptors, std::vector<NodeId> stores, std::uint32_t replicas,
+                 FormationDone done);
 
   /// Replaces one member; `done` holds the new list once the newcomer has every register. Safe to
   /// send again after any failure.
--- a/src/register/self_admission.cpp
+++ b/src/register/self_admission.cpp
@@ -75,7 +75,8 @@
 bool SelfAdmissionCore::isFirstSpare(const NodeTable& nodes) const {
   const NodeRole role = kind_ == Kind::Acceptor ? NodeRole::Register : NodeRole::Store;
   for (const NodeId& id : nodes.live(role)) {
-    if (!isListed(id) && !isLeaving(id)) {
+    const bool hasDisk = !nodes.find(id)->storeId.empty();
+    if (hasDisk && !isListed(id) && !isLeaving(id)) {
       return id == context_.self();
     }
   }
--- a/src/settings/process_keys.cpp
+++ b/src/settings/process_keys.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kMaxZoneBytes = 64;
 constexpr std::uint32_t kMaxPort = 65535;
 constexpr std::uint32_t kMostMegabytes = 1U << 30U;
+/// 2 x 4 + 1 acceptors are the most that a fleet is formed of.
+constexpr std::uint32_t kMostToleratedLosses = 4;
 constexpr double kMostSeconds = 86400;
 
 bool storeRole(ProcessSettings& settings, const std::string& value) {
@@ -81,6 +83,12 @@
   return megabytes.has_value();
 }
 
+bool storeToleratedLosses(ProcessSettings& settings, const std::string& value) {
+  const auto losses = wholeNumber(value, kMostToleratedLosses);
+  settings.toleratedLosses = losses.value_or(0);
+  return losses.has_value();
+}
+
 bool storeFirstStart(ProcessSettings& settings, const std::string& value) {
   settings.firstStart = value == "true";
   return value == "true" || value == "false";
@@ -132,7 +140,7 @@
       {"operators_address", true, true, true, kAddress, storeText(&P::operatorsAddress, isIpPort)},
       {"callers_address", true, false, true, kAddress, storeText(&P::callersAddress, isIpPort)},
       {"seeds", true, true, true, "1 to 16 \"ip:port\"; as a flag separated by commas", storeSeeds},
-      {"data_folder", false, true, true, kPath, storeText(&P::dataFolder, isPath)},
+      {"data_folder", false, true, false, kPath, storeText(&P::dataFolder, isPath)},
       {"fleet_key_file", true, true, true, kPath, storeText(&P::fleetKeyFile, isPath)},
       {"operator_key_file", true, true, true, kPath, storeText(&P::operatorKeyFile, isPath)},
       {"node_name", true, true, false, "1 to 64 characters", storeText(&P::nodeName, isZone)},
@@ -140,6 +148,7 @@
       {"listing_address", true, true, false, kAddress, storeText(&P::listingAddress, isIpPort)},
       {"seed_port", true, true, false, "a port from 1 to 65535", storeSeedPort},
       {"disk_mb", false, true, false, "whole megabytes", storeDisk},
+      {"tolerated_losses", false, true, false, "0 to 4", storeToleratedLosses},
       {"first_start", false, true, false, "\"true\" or \"false\"", storeFirstStart},
       {"stop_warning_s", true, true, false, "seconds above 0", storeSeconds(&P::stopWarning)},
       {"log_level", true, true, false, "\"error\", \"warn\", \"info\" or \"debug\"", storeLogLevel},
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -75,6 +75,12 @@
                            " (in the settings file or as --" + key.flag() + ")");
     }
   }
+  const bool isStore = settings.kind == ProcessKind::Control && settings.role == ControlRole::Store;
+  if (isStore && settings.dataFolder.empty()) {
+    return makeError(ErrorCode::InvalidArgument,
+                     "/data_folder: found nothing; required with the role \"store\" (in the "
+                     "settings file or as --data-folder)");
+  }
   return okStatus();
 }
 
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -31,7 +31,7 @@
   std::string operatorsAddress;
   std::string callersAddress;  ///< Data processes only.
   std::vector<NodeId> seeds;
-  std::string dataFolder;  ///< Control processes only.
+  std::string dataFolder;  ///< Control processes only; empty: a register node without a disk.
   std::string fleetKeyFile;
   std::string operatorKeyFile;
   LogLevel logLevel = LogLevel::Info;
@@ -39,7 +39,10 @@
   std::string listingAddress;       ///< "ip:port" of the listing of engines; empty: the register's.
   std::uint16_t seedPort = 0;       ///< Replaces the port of each seed; 0: the seeds' own.
   std::uint32_t diskMegabytes = 0;  ///< Room for the ring; 0: not bounded.
-  bool firstStart = false;          ///< The fleet starts for the first time.
+  /// Disks that may be lost at once without the loss of anything acknowledged. Read when a fleet is
+  /// formed.
+  std::uint32_t toleratedLosses = 1;
+  bool firstStart = false;                          ///< The fleet starts for the first time.
   Duration stopWarning = std::chrono::seconds(25);  ///< From the request to stop to the end.
 
   /// Text of `--help` or `--version`. If it is not empty, nothing else is filled in: the process
--- a/tests/register/fixed_directory.h
+++ b/tests/register/fixed_directory.h
@@ -21,6 +21,9 @@
     info.role = role;
     info.state = state;
     info.name = "machine-" + id;
+    if (role != NodeRole::Data) {
+      info.storeId = "disk-" + id;
+    }
     next->nodes.erase(std::remove_if(next->nodes.begin(), next->nodes.end(),
                                      [&](const NodeInfo& node) { return node.id == info.id; }),
                       next->nodes.end());
@@ -29,7 +32,25 @@
               [](const NodeInfo& left, const NodeInfo& right) { return left.id < right.id; });
     nodes = next;
   }
+  void setZone(const std::string& id, const std::string& zone) {
+    edit(id, [&](NodeInfo& info) { info.zone = zone; });
+  }
+  void setStoreId(const std::string& id, const std::string& storeId) {
+    edit(id, [&](NodeInfo& info) { info.storeId = storeId; });
+  }
   std::shared_ptr<const NodeTable> nodes = std::make_shared<NodeTable>();
+
+ private:
+  template <class Edit>
+  void edit(const std::string& id, Edit change) {
+    auto next = std::make_shared<NodeTable>(*nodes);
+    for (NodeInfo& info : next->nodes) {
+      if (info.id.address == id) {
+        change(info);
+      }
+    }
+    nodes = next;
+  }
 };
 
 }  // namespace shedshed::test
--- a/tests/register/register_fleet.h
+++ b/tests/register/register_fleet.h
@@ -91,7 +91,7 @@
 
   Result<MemberList> form(const std::string& via = "a1") {
     std::optional<Result<MemberList>> result;
-    registers(via).formFleet(acceptorIds, {}, [&](auto formed) { result = std::move(formed); });
+    registers(via).formFleet(acceptorIds, {}, 0, [&](auto formed) { result = std::move(formed); });
     return await(result);
   }
 
