A partition lives on 2f+1 stores, not on all; slow takeovers are logged

Callers saw: batches that could not be read after a loss of all power on a fleet of 16 stores. Cause: every store held every partition. A write went to 12 to 15 others, a takeover asked all of them, and after the loss of all power 128 partitions were merged and written back between 13 stores at once. Change: MemberList::replicas neighbours in the ring of the list's places hold a partition; a place keeps its partitions when its holder is replaced, so a set changes by one member at a time and each newcomer has installed an earlier set. Stores without a place still hold everything. The list is in the order of zones in turn. Fleets formed before have 0: all stores. Ruled out: rendezvous over the members (a replacement could change two members of a set, and an empty newcomer could enter without having followed an owner).

--- a/src/partition/owner_locator.cpp
+++ b/src/partition/owner_locator.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/message.h"
 #include "kernel/rendezvous.h"
+#include "partition/placement.h"
 
 #include <algorithm>
 #include <string>
@@ -21,14 +22,11 @@
 OwnerLocator::OwnerLocator(const Directory& directory, ConfigurationSource& configuration)
     : directory_(directory) {
   configuration.subscribe(kMembersRegister, [this](const RegisterValue& value) {
-    const Result<MemberList> members = decodeRecord<MemberList>(value.value);
+    Result<MemberList> members = decodeRecord<MemberList>(value.value);
     if (!members) {
       return;
     }
-    stores_.clear();
-    for (const MemberList::Member& member : members.value().stores) {
-      stores_.push_back(member.id);
-    }
+    members_ = std::move(members).value();
     redirects_.clear();
   });
 }
@@ -39,7 +37,7 @@
       stateOf(redirect->second) != NodeState::Dead) {
     return redirect->second;
   }
-  std::vector<NodeId> order = ownerOrder(partition, liveStores());
+  std::vector<NodeId> order = ownerOrder(partition, liveReplicas(partition));
   std::stable_partition(order.begin(), order.end(), [this](const NodeId& store) {
     return stateOf(store) != NodeState::Draining;
   });
@@ -66,14 +64,16 @@
   return info == nullptr ? NodeState::Alive : info->state;
 }
 
-std::vector<NodeId> OwnerLocator::liveStores() const {
+std::vector<NodeId> OwnerLocator::liveReplicas(const PartitionId& partition) const {
+  std::vector<NodeId> all;
   std::vector<NodeId> live;
-  for (const NodeId& store : stores_) {
-    if (stateOf(store) != NodeState::Dead) {
-      live.push_back(store);
+  for (const MemberList::Member& member : replicasOf(partition, members_)) {
+    all.push_back(member.id);
+    if (stateOf(member.id) != NodeState::Dead) {
+      live.push_back(member.id);
     }
   }
-  return live.empty() ? stores_ : live;
+  return live.empty() ? all : live;
 }
 
 }  // namespace shedshed
--- a/src/partition/owner_locator.h
+++ b/src/partition/owner_locator.h
@@ -29,10 +29,10 @@
 
  private:
   NodeState stateOf(const NodeId& store) const;
-  std::vector<NodeId> liveStores() const;
+  std::vector<NodeId> liveReplicas(const PartitionId& partition) const;
 
   const Directory& directory_;
-  std::vector<NodeId> stores_;
+  MemberList members_;
   std::map<PartitionId, NodeId> redirects_;
 };
 
--- a/src/partition/partition_core.cpp
+++ b/src/partition/partition_core.cpp
@@ -17,6 +17,14 @@
 /// Longest time that a hand-back waits for this replica to be brought up to date by the owner.
 constexpr Duration kHandBackLimit = std::chrono::seconds(30);
 
+/// A takeover that lasts longer is told in the log.
+constexpr Duration kSlowTakeover = std::chrono::seconds(2);
+
+std::string nameOf(const PartitionId& partition) {
+  return (partition.kind == TableKind::Slots ? "slot partition " : "batch partition ") +
+         std::to_string(partition.index);
+}
+
 /// Returns a first heartbeat number that an earlier life of the process has hardly used.
 std::uint64_t randomRound(RandomEngine& random) {
   return random() >> 1;
@@ -144,18 +152,26 @@
 }
 
 bool PartitionCore::handedOver() const {
-  const StoreMembers& members = stores_.members();
-  const bool successor = std::any_of(members.begin(), members.end(), [this](const auto& member) {
+  return std::none_of(places_.begin(), places_.end(), [this](const auto& entry) {
+    return served(entry.first) != nullptr && hasSuccessor(entry.first);
+  });
+}
+
+bool PartitionCore::hasSuccessor(const PartitionId& partition) const {
+  const StoreMembers replicas = stores_.replicas(partition);
+  return std::any_of(replicas.begin(), replicas.end(), [this](const auto& member) {
     return member.id != context_.self() && stores_.isLive(member) && !stores_.isDraining(member.id);
   });
-  return !successor || ownedPartitions() == 0;
 }
 
 RepairProgress PartitionCore::repairProgress() const {
   RepairProgress progress;
-  progress.total = static_cast<std::uint32_t>(places_.size());
   progress.isMember = stores_.selfIsMember();
   for (const auto& entry : places_) {
+    if (!stores_.selfHolds(entry.first)) {
+      continue;
+    }
+    ++progress.total;
     const Place& place = entry.second;
     const ReplicaPosition position = place.replica.position();
     const bool recent = context_.now() - place.heardAt < kOwnershipSilence;
@@ -326,6 +342,31 @@
     place.replica.dropDamaged();
   }
   considerTakeover(place);
+  reportSlowTakeover(place);
+}
+
+void PartitionCore::reportSlowTakeover(Place& place) {
+  const bool trying = place.takeover || (place.owner && !place.announced);
+  if (!trying) {
+    if (place.reported) {
+      context_.logStateChange(nameOf(place.replica.partition()) +
+                              (place.announced ? ": owned at last" : ": no longer tried"));
+    }
+    place.unservedSince.reset();
+    place.reported = false;
+    return;
+  }
+  if (!place.unservedSince) {
+    place.unservedSince = context_.now();
+  }
+  if (!place.reported && context_.now() - *place.unservedSince >= kSlowTakeover) {
+    place.reported = true;
+    context_.counters().add("partition_slow_takeovers_total");
+    const std::string progress =
+        place.takeover ? place.takeover->progress() : place.owner->progress();
+    context_.logStateChange(nameOf(place.replica.partition()) + ": slow takeover at epoch " +
+                            std::to_string(place.highestEpoch) + " " + progress);
+  }
 }
 
 bool PartitionCore::mayOwn() const {
@@ -345,7 +386,7 @@
     const auto same = [](const MemberList::Member& left, const MemberList::Member& right) {
       return left.id == right.id && left.storeId == right.storeId;
     };
-    const StoreMembers& now = stores_.members();
+    const StoreMembers now = stores_.replicas(place.replica.partition());
     if (!std::equal(held.begin(), held.end(), now.begin(), now.end(), same)) {
       loseOwnership(place);
     }
--- a/src/partition/partition_core.h
+++ b/src/partition/partition_core.h
@@ -41,7 +41,8 @@
   /// True once a store that drains may end: it owns nothing, or no other store could own it.
   bool handedOver() const;
 
-  /// How many partitions this store holds in full, also before it is a member.
+  /// How many of the partitions that it is to hold this store holds in full, also before it is a
+  /// member.
   RepairProgress repairProgress() const;
 
  private:
@@ -61,6 +62,9 @@
     Time heardAt;
     std::optional<Time> firstSince;  ///< Since when this node is first in the order.
     Time tryAfter;
+    std::optional<Time>
+        unservedSince;               ///< Since when this node tries to own it and does not serve.
+    bool reported = false;           ///< That it lasts was logged.
     std::uint64_t highestEpoch = 0;  ///< Highest epoch that anyone named.
     bool reviewScheduled = false;
   };
@@ -100,6 +104,9 @@
   void loseOwnership(Place& place);
   void sendPromiseRequests();
   void sendHeartbeats(bool onlyConfirmations);
+  /// Logs a partition that this node has tried to own for `kSlowTakeover`, and its end.
+  void reportSlowTakeover(Place& place);
+  bool hasSuccessor(const PartitionId& partition) const;
   void publishCounters();
   PartitionListener* listener(const PartitionId& partition) const;
 
@@ -114,6 +121,7 @@
   Time heartbeatAt_;
   Time startedAt_;
   bool confirmationScheduled_ = false;
+  std::size_t loggedOwned_ = 0;
 };
 
 }  // namespace shedshed
--- a/src/partition/partition_messages.cpp
+++ b/src/partition/partition_messages.cpp
@@ -209,28 +209,33 @@
 }
 
 void PartitionCore::sendHeartbeats(bool onlyConfirmations) {
-  HeartbeatRequest request;
-  request.round = ++round_;
+  ++round_;
+  std::map<NodeId, HeartbeatRequest> requests;
   for (auto& entry : places_) {
-    const bool included =
-        entry.second.owner && (!onlyConfirmations || entry.second.owner->confirming());
-    if (included) {
-      request.items.push_back(entry.second.owner->heartbeat());
-      entry.second.replica.collectTombstones(request.items.back().epoch,
-                                             request.items.back().stable);
+    Place& place = entry.second;
+    if (!place.owner || (onlyConfirmations && !place.owner->confirming())) {
+      continue;
+    }
+    const HeartbeatItem item = place.owner->heartbeat();
+    place.replica.collectTombstones(item.epoch, item.stable);
+    for (const NodeId& peer : stores_.peers(entry.first)) {
+      requests[peer].items.push_back(item);
     }
   }
-  if (request.items.empty()) {
-    return;
-  }
-  const Message message = encodeMessage(request);
-  for (const NodeId& peer : stores_.peers()) {
-    context_.send(peer, message);
+  for (auto& entry : requests) {
+    entry.second.round = round_;
+    context_.send(entry.first, entry.second);
   }
 }
 
 void PartitionCore::publishCounters() {
-  context_.counters().set("partitions_owned", static_cast<double>(ownedPartitions()));
+  const std::size_t owned = ownedPartitions();
+  if (owned != loggedOwned_) {
+    context_.logStateChange("owns " + std::to_string(owned) + " partitions, " +
+                            std::to_string(loggedOwned_) + " before");
+    loggedOwned_ = owned;
+  }
+  context_.counters().set("partitions_owned", static_cast<double>(owned));
   const RepairProgress progress = repairProgress();
   context_.counters().set("partitions_held", progress.held);
   context_.counters().set("partitions_settled", progress.settled);
--- a/src/partition/partition_owner.cpp
+++ b/src/partition/partition_owner.cpp
@@ -194,7 +194,14 @@
 }
 
 void PartitionOwner::addPeers() {
-  for (const NodeId& node : stores_.peers()) {
+  std::vector<NodeId> nodes = stores_.peers(replica_.partition());
+  // A majority of the earlier replicas must install the epoch too, whatever became of them.
+  for (const MemberList::Member& member : outcome_.previous) {
+    if (member.id != context_.self()) {
+      nodes.push_back(member.id);
+    }
+  }
+  for (const NodeId& node : nodes) {
     const auto added = peers_.emplace(node, Peer());
     if (added.second) {
       added.first->second.heardAt = context_.now();
--- a/src/partition/partition_owner.h
+++ b/src/partition/partition_owner.h
@@ -42,6 +42,9 @@
   void confirm(std::uint64_t round, std::function<void(Status)> done);
   bool confirming() const { return !confirmations_.empty(); }
 
+  /// For the log: how far the write-back is.
+  std::string progress() const;
+
   /// The item for this partition in a heartbeat.
   HeartbeatItem heartbeat() const;
 
--- a/src/partition/partition_quorum.cpp
+++ b/src/partition/partition_quorum.cpp
@@ -31,6 +31,16 @@
   return previous && majorityOf(outcome_.replicas, installed);
 }
 
+std::string PartitionOwner::progress() const {
+  const auto installed = [this](const auto& member) { return holds(member, 0); };
+  const auto count = [&](const StoreMembers& set) {
+    return std::to_string(std::count_if(set.begin(), set.end(), installed)) + " of " +
+           std::to_string(set.size());
+  };
+  return "writes back: on " + count(outcome_.replicas) + " replicas, " + count(outcome_.previous) +
+         " earlier ones";
+}
+
 bool PartitionOwner::heardByMajority() const {
   const Time now = context_.now();
   return majorityOf(outcome_.replicas, [&](const MemberList::Member& member) {
@@ -44,7 +54,8 @@
   if (!majorityHolds(write.sequence)) {
     return false;
   }
-  const bool waitForAll = replica_.partition().kind == TableKind::Batches && stores_.allStaying() &&
+  const bool waitForAll = replica_.partition().kind == TableKind::Batches &&
+                          stores_.allStaying(outcome_.replicas) &&
                           context_.now() - write.begunAt < kAllReplicasWait;
   return !waitForAll || allHold(write.sequence);
 }
--- a/src/partition/partition_takeover.cpp
+++ b/src/partition/partition_takeover.cpp
@@ -19,7 +19,7 @@
     : context_(context), stores_(stores), replica_(replica), options_(options),
       changed_(std::move(changed)) {
   outcome_.epoch = epoch;
-  outcome_.replicas = stores.members();
+  outcome_.replicas = stores.replicas(replica.partition());
   progressAt_ = context.now();
 }
 
@@ -194,6 +194,19 @@
   fetchNext();
 }
 
+std::string PartitionTakeover::progress() const {
+  const auto count = [](const StoreMembers& set, const auto& holds) {
+    return std::to_string(std::count_if(set.begin(), set.end(), holds)) + " of " +
+           std::to_string(set.size());
+  };
+  const auto promised = [this](const MemberList::Member& member) { return answered(member); };
+  const auto intact = [this](const MemberList::Member& member) { return answeredIntact(member); };
+  return std::string(state_ == State::Promising ? "asks for promises" : "merges") + ": " +
+         count(outcome_.replicas, promised) + " replicas promised, " +
+         count(outcome_.replicas, intact) + " intact, " + count(outcome_.previous, promised) +
+         " earlier ones, " + std::to_string(sources_.size()) + " tables to fetch";
+}
+
 void PartitionTakeover::tick() {
   const Time now = context_.now();
   if (state_ == State::Promising) {
--- a/src/partition/partition_takeover.h
+++ b/src/partition/partition_takeover.h
@@ -40,6 +40,9 @@
   State state() const { return state_; }
   std::uint64_t epoch() const { return outcome_.epoch; }
 
+  /// For the log: how far it is.
+  std::string progress() const;
+
   /// The highest epoch that a refusal named.
   std::uint64_t refusedBy() const { return refusedBy_; }
 
--- a/src/partition/partition_types.h
+++ b/src/partition/partition_types.h
@@ -116,13 +116,13 @@
   PartitionSafeguards safeguards;
 };
 
-/// How much of the fleet's data this store holds.
+/// How much of the data that it is to hold this store holds.
 struct RepairProgress {
   std::uint32_t held = 0;  ///< Partitions held in full at the newest known epoch.
   /// Of these, the ones whose owner counts this store, with its present disk, as a replica. Until
   /// then a takeover still needs a majority of the replicas before.
   std::uint32_t settled = 0;
-  std::uint32_t total = 0;  ///< All partitions.
+  std::uint32_t total = 0;  ///< Partitions of its place, or all for one without a place.
   bool isMember = false;    ///< True if this store, with its present disk, is a member.
   bool complete() const { return total != 0 && held == total; }
   bool replacementComplete() const { return isMember && total != 0 && settled == total; }
--- a/src/partition/store_set.cpp
+++ b/src/partition/store_set.cpp
@@ -11,23 +11,32 @@
                    const NodeId& self, const std::string& storeId)
     : directory_(directory), self_(self), storeId_(storeId) {
   configuration.subscribe(kMembersRegister, [this](const RegisterValue& value) {
-    const Result<MemberList> list = decodeRecord<MemberList>(value.value);
+    Result<MemberList> list = decodeRecord<MemberList>(value.value);
     if (!list || value.version < version_) {
       return;
     }
     version_ = value.version;
-    members_ = list.value().stores;
-    std::sort(members_.begin(), members_.end(),
-              [](const auto& left, const auto& right) { return left.id < right.id; });
+    list_ = std::move(list).value();
   });
 }
 
 bool StoreSet::isMember(const NodeId& node, const std::string& storeId) const {
-  return std::any_of(members_.begin(), members_.end(), [&](const MemberList::Member& member) {
+  const StoreMembers& all = members();
+  return std::any_of(all.begin(), all.end(), [&](const MemberList::Member& member) {
     return member.id == node && member.storeId == storeId;
   });
 }
 
+bool StoreSet::isListed(const NodeId& node) const {
+  const StoreMembers& all = members();
+  return std::any_of(all.begin(), all.end(),
+                     [&](const MemberList::Member& member) { return member.id == node; });
+}
+
+bool StoreSet::selfHolds(const PartitionId& partition) const {
+  return !isListed(self_) || isPlacedAt(partition, list_, self_);
+}
+
 bool StoreSet::isLive(const MemberList::Member& member) const {
   if (member.id == self_) {
     return member.storeId == storeId_;
@@ -41,8 +50,8 @@
   return info->state != NodeState::Dead && sameDisk;
 }
 
-bool StoreSet::allStaying() const {
-  return std::all_of(members_.begin(), members_.end(), [this](const MemberList::Member& member) {
+bool StoreSet::allStaying(const StoreMembers& members) const {
+  return std::all_of(members.begin(), members.end(), [this](const MemberList::Member& member) {
     return isLive(member) && !isDraining(member.id);
   });
 }
@@ -55,7 +64,7 @@
 
 std::vector<NodeId> StoreSet::liveOrder(const PartitionId& partition) const {
   std::vector<NodeId> live;
-  for (const MemberList::Member& member : members_) {
+  for (const MemberList::Member& member : replicas(partition)) {
     if (isLive(member)) {
       live.push_back(member.id);
     }
@@ -66,14 +75,14 @@
   return order;
 }
 
-std::vector<NodeId> StoreSet::peers() const {
+std::vector<NodeId> StoreSet::peers(const PartitionId& partition) const {
   std::set<NodeId> peers;
-  for (const MemberList::Member& member : members_) {
+  for (const MemberList::Member& member : replicas(partition)) {
     peers.insert(member.id);
   }
   const std::shared_ptr<const NodeTable> table = directory_.table();
   for (const NodeInfo& node : table->nodes) {
-    if (node.role == NodeRole::Store && node.state != NodeState::Dead) {
+    if (node.role == NodeRole::Store && node.state != NodeState::Dead && !isListed(node.id)) {
       peers.insert(node.id);
     }
   }
--- a/src/partition/store_set.h
+++ b/src/partition/store_set.h
@@ -4,6 +4,7 @@
 
 #include "membership/directory.h"
 #include "partition/partition_types.h"
+#include "partition/placement.h"
 
 #include <functional>
 #include <vector>
@@ -18,8 +19,14 @@
   StoreSet(const Directory& directory, ConfigurationSource& configuration, const NodeId& self,
            const std::string& storeId);
 
-  /// The stores of the members register in force, sorted by node.
-  const StoreMembers& members() const { return members_; }
+  /// The stores of the members register in force, by place.
+  const StoreMembers& members() const { return list_.stores; }
+
+  /// The members that hold @p partition.
+  StoreMembers replicas(const PartitionId& partition) const { return replicasOf(partition, list_); }
+
+  /// True if this node is to hold @p partition: at its place, or as a stand-by, which holds all.
+  bool selfHolds(const PartitionId& partition) const;
 
   /// Version of the members register in force; 0 if none.
   std::uint64_t version() const { return version_; }
@@ -33,19 +40,19 @@
   /// False if the directory says that the member is dead or has another disk.
   bool isLive(const MemberList::Member& member) const;
 
-  /// True if all members are live and none drains.
-  bool allStaying() const;
+  /// True if all of @p members are live and none drains.
+  bool allStaying(const StoreMembers& members) const;
 
   /// True if the directory says that @p node drains: it hands its partitions over.
   bool isDraining(const NodeId& node) const;
 
-  /// The live members in the order in which they own @p partition. Those that drain come last: they
-  /// own only what no other live store can.
+  /// The live replicas in the order in which they own @p partition. Those that drain come last:
+  /// they own only what no other live store can.
   std::vector<NodeId> liveOrder(const PartitionId& partition) const;
 
-  /// All other nodes that are to hold copies: members, and live store nodes that are not members
-  /// yet. The latter count for no majority.
-  std::vector<NodeId> peers() const;
+  /// All other nodes that are to hold copies of @p partition: its replicas, and live store nodes
+  /// that have no place. The latter count for no majority.
+  std::vector<NodeId> peers(const PartitionId& partition) const;
 
   /// False if the directory says that @p node is dead.
   bool isReachable(const NodeId& node) const;
@@ -54,7 +61,9 @@
   const Directory& directory_;
   NodeId self_;
   std::string storeId_;
-  StoreMembers members_;
+  bool isListed(const NodeId& node) const;
+
+  MemberList list_;
   std::uint64_t version_ = 0;
 };
 
--- a/tests/partition/partition_fleet.h
+++ b/tests/partition/partition_fleet.h
@@ -51,6 +51,9 @@
     for (const auto& store : stores) {
       list.stores.push_back({NodeId{store.first}, store.second});
     }
+    setList(list);
+  }
+  void setList(const MemberList& list) {
     value_ = {value_.version + 1, encodeRecord(list)};
     for (const auto& listener : listeners_) {
       listener(value_);
