A stand-by takes the place of a member that left; a newcomer does not wait for one

Cause: a machine that stands by takes no place of a member that it has seen alive, since that one may only be cut off. A successor that is started before its predecessor is stopped has always seen it alive, so the place stayed with the machine that was gone, and the next loss left one of three replicas. Class: a promise of repair that depends on the order in which machines come and go. Found elsewhere by looking: a newcomer that may take a lost member's place waited for an older stand-by that may not. Change: a member that announced that it leaves (it drained) and is dead for 1.7 s has left for good; the first stand-by takes its place. A silent one is still never replaced by silence alone. A newcomer asks at once, two of them are settled by the register's compare-and-swap. Ruled out: replacing any member after a longer silence (a cut store would lose its place). Tests: three of the four new cases of self_admission failed on the old code, a_member_that_restarts_keeps_its_place passed there too.

--- a/src/register/self_admission.cpp
+++ b/src/register/self_admission.cpp
@@ -60,6 +60,9 @@
       silence.since = context_.now();
     }
     silence.wasLive = silence.wasLive || (node != nullptr && !dead);
+    if (node != nullptr && !dead) {
+      silence.announcedLeaving = node->state == NodeState::Draining;
+    }
   }
 }
 
@@ -72,6 +75,12 @@
   return context_.now() - found->second.since >= needed;
 }
 
+bool SelfAdmissionCore::hasLeft(const MemberList::Member& member) const {
+  const auto found = silences_.find(member.id);
+  return found != silences_.end() && found->second.isDead && found->second.announcedLeaving &&
+         context_.now() - found->second.since >= options_.leftFor;
+}
+
 bool SelfAdmissionCore::isFirstSpare(const NodeTable& nodes) const {
   const NodeRole role = kind_ == Kind::Acceptor ? NodeRole::Register : NodeRole::Store;
   for (const NodeId& id : nodes.live(role)) {
@@ -92,11 +101,9 @@
       return place;
     }
   }
-  if (!isFirstSpare(nodes)) {
-    return {};
-  }
+  const bool firstSpare = isFirstSpare(nodes);
   for (const MemberList::Member& member : members()) {
-    if (isLost(member)) {
+    if (isLost(member) || (firstSpare && hasLeft(member))) {
       return member.id;
     }
   }
--- a/src/register/self_admission.h
+++ b/src/register/self_admission.h
@@ -19,17 +19,19 @@
   Duration deadFor = std::chrono::milliseconds(1200);
   /// The same for a member that the directory never showed since this process started.
   Duration absentFor = std::chrono::milliseconds(3000);
+  /// The same for a member that had announced that it leaves; longer than a restart takes.
+  Duration leftFor = std::chrono::milliseconds(1700);
 };
 
 /// Runs on every machine with a disk, as an acceptor or as a store. One that is no member with its
 /// present disk asks for a place:
 /// - its own one, if a member is listed at its address with another disk: that disk is gone;
 /// - that of a member that is dead and that was never live in the life of this process: this
-/// machine
-///   was put in its place. A member that falls silent later is never replaced by a machine that
-///   stood by: it may only be cut off;
+///   machine was put in its place. A member that falls silent later is never replaced by a machine
+///   that stood by: it may only be cut off;
+/// - that of a member that announced that it leaves and is dead since: it was stopped for good. Of
+///   several machines that stand by, the first in the order of ids takes the place;
 /// - that of a retiring member whose successor it is.
-/// Of several machines that could take a place, the first in the order of ids does.
 ///
 /// Safety does not rest on these guesses: a change of the members needs majorities of the old and
 /// of the new list, and a store asks only once it holds all data.
@@ -54,7 +56,10 @@
   const std::vector<MemberList::Member>& members() const;
   bool isListed(const NodeId& id) const;
   void watchMembers(const NodeTable& nodes);
+  /// True if this machine was put in the place of @p member.
   bool isLost(const MemberList::Member& member) const;
+  /// True if @p member was stopped on request and has not come back.
+  bool hasLeft(const MemberList::Member& member) const;
   bool isLeaving(const NodeId& id) const;
   /// True if this node is the first of the live machines of its kind that are no members.
   bool isFirstSpare(const NodeTable& nodes) const;
@@ -72,10 +77,11 @@
   std::function<std::vector<NodeId>()> leaving_;
   const SelfAdmissionOptions options_;
   Time startedAt_{};
-  /// For each member that was never live since the start: since when it is held dead or absent.
+  /// For each member: since when it is held dead, or absent if it was never live since the start.
   struct Silence {
     bool wasLive = false;
     bool isDead = false;
+    bool announcedLeaving = false;  ///< In its present life, or in the one that ended.
     Time since{};
   };
   std::map<NodeId, Silence> silences_;
--- a/tests/register/self_admission_test.cpp
+++ b/tests/register/self_admission_test.cpp
@@ -93,6 +93,73 @@
   BOOST_TEST(isMember("a1"));
 }
 
+// A successor that runs before its predecessor is stopped had seen it alive and never took its
+// place; the next loss left no majority.
+BOOST_FIXTURE_TEST_CASE(a_machine_that_stood_by_replaces_a_member_that_left, AdmissionFleet) {
+  fleet.addControl("a4");
+  directory.add("a4", NodeRole::Register);
+  admit("a4");
+  fleet.harness.advance(seconds(4));
+  directory.set("a1", NodeRole::Register, NodeState::Draining);
+  fleet.harness.advance(seconds(4));
+  BOOST_TEST(isMember("a1"));
+  directory.set("a1", NodeRole::Register, NodeState::Dead);
+  fleet.harness.advance(seconds(3));
+  BOOST_TEST(isMember("a4"));
+  BOOST_TEST(!isMember("a1"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_member_that_restarts_keeps_its_place, AdmissionFleet) {
+  fleet.addControl("a4");
+  directory.add("a4", NodeRole::Register);
+  admit("a4");
+  fleet.harness.advance(seconds(4));
+  directory.set("a1", NodeRole::Register, NodeState::Draining);
+  fleet.harness.advance(milliseconds(500));
+  directory.set("a1", NodeRole::Register, NodeState::Dead);
+  fleet.harness.advance(seconds(1));
+  directory.set("a1", NodeRole::Register, NodeState::Alive);
+  fleet.harness.advance(seconds(1));
+  directory.set("a1", NodeRole::Register, NodeState::Dead);
+  fleet.harness.advance(seconds(10));
+  BOOST_TEST(isMember("a1"));
+}
+
+// A machine that stood by for longer comes first in the order but may replace no silent member; the
+// newcomer that may waited for it.
+BOOST_FIXTURE_TEST_CASE(a_newcomer_does_not_wait_for_a_machine_that_stood_by, AdmissionFleet) {
+  fleet.addControl("a4");
+  directory.add("a4", NodeRole::Register);
+  admit("a4");
+  fleet.harness.advance(seconds(4));
+  fleet.crash("a1");
+  directory.set("a1", NodeRole::Register, NodeState::Dead);
+  fleet.addControl("a5");
+  directory.add("a5", NodeRole::Register);
+  admit("a5");
+  fleet.harness.advance(seconds(4));
+  BOOST_TEST(isMember("a5"));
+}
+
+BOOST_FIXTURE_TEST_CASE(two_newcomers_take_two_places, AdmissionFleet) {
+  for (const char* id : {"a4", "a5"}) {
+    fleet.addControl(id);
+    directory.add(id, NodeRole::Register);
+    admit(id);
+  }
+  fleet.harness.advance(seconds(2));
+  for (const char* id : {"a1", "a3"}) {
+    directory.set(id, NodeRole::Register, NodeState::Draining);
+  }
+  fleet.harness.advance(milliseconds(500));
+  for (const char* id : {"a1", "a3"}) {
+    directory.set(id, NodeRole::Register, NodeState::Dead);
+  }
+  fleet.harness.advance(seconds(6));
+  BOOST_TEST(isMember("a4"));
+  BOOST_TEST(isMember("a5"));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_successor_takes_the_place_of_a_retiring_member, AdmissionFleet) {
   fleet.addControl("a4");
   directory.add("a4", NodeRole::Register);
