Full disks: batches give their room back, owners refuse while there is little room, the ring uses the disk

Cause: storage was full. A full ring refuses records; the refused one holds up all that follow it on that store, also a replica's promise of an epoch. So no partition could change its owner and none was readable. Class: a bounded resource without a refusal in front of it. Ruled out: missing promises of others (0 of 13, its own among them); damaged replicas (0 intact because 0 promised); processor time (0.13 of 0.3 cores). Change: the record that ends a batch erases its bodies in the same write; a store whose disk is three quarters full refuses new batches as storage_full (503, not run), its own or a replica's, told in heartbeats; the ring takes three quarters of disk_mb in files of 16 MB, up to 64. Log lines and gauges tell the room left and a disk that refuses. An existing ring of another size is refused at the start, as before. Tests: bodiesOfAFinishedBatchGiveTheirRoomBack failed before; the others are of new code.

--- a/src/batch/batch_owner_items.cpp
+++ b/src/batch/batch_owner_items.cpp
@@ -289,16 +289,22 @@
   }
   batch.finalWriting = true;
   const BatchStatus status = batch.status();
-  writeSurely(batch.id(), {{finalKey(batch.id()), encodeRecord(status)}},
-              [this, batchId = batch.id(), status] {
-                BatchState* finished = find(batchId);
-                if (finished == nullptr) {
-                  return;
-                }
-                finished->setFinished(status);
-                finished->finishedAt = context_.now();
-                context_.counters().add("batches_finished_total");
-              });
+  std::vector<TableEntry> entries{{finalKey(batch.id()), encodeRecord(status)}};
+  // Nobody reads the body of an item that has a result.
+  const std::uint64_t chunks =
+      std::min<std::uint64_t>(batch.meta().chunkPositions.size(), options_.erasePerWrite);
+  for (std::uint64_t chunk = 0; chunk < chunks; ++chunk) {
+    entries.push_back({bodyKey(batch.id(), chunk), std::nullopt});
+  }
+  writeSurely(batch.id(), std::move(entries), [this, batchId = batch.id(), status] {
+    BatchState* finished = find(batchId);
+    if (finished == nullptr) {
+      return;
+    }
+    finished->setFinished(status);
+    finished->finishedAt = context_.now();
+    context_.counters().add("batches_finished_total");
+  });
 }
 
 }  // namespace shedshed
--- a/src/batch/batch_owner_submit.cpp
+++ b/src/batch/batch_owner_submit.cpp
@@ -128,7 +128,9 @@
   for (const auto& other : owned.uploads) {
     uploading += &other.second == &upload ? 0 : other.second.meta.bodyBytes;
   }
-  return owned.bodyBytes + uploading + bytesOf(chunk.items) <= options_.maxPartitionBodyBytes;
+  const PartitionId partition = partitionOf(TableKind::Batches, chunk.batchId);
+  return store_.takesNewData(partition) &&
+         owned.bodyBytes + uploading + bytesOf(chunk.items) <= options_.maxPartitionBodyBytes;
 }
 
 void BatchOwnerCore::storeChunk(const NodeId& from, SubmitChunk chunk, Owned& owned,
--- a/src/kernel/core.h
+++ b/src/kernel/core.h
@@ -40,6 +40,18 @@
   std::optional<std::string> value;
 };
 
+/// How full the node's durable records are.
+struct RecordSpace {
+  std::uint64_t usedBytes = 0;
+  std::uint64_t totalBytes = 0;  ///< 0 if there is no bound.
+
+  /// True if new data should go elsewhere: the rest is for what follows from data that was taken.
+  bool isScarce() const {
+    constexpr std::uint64_t kScarcePart = 4;  // The last quarter is kept back.
+    return totalBytes != 0 && usedBytes >= totalBytes - totalBytes / kScarcePart;
+  }
+};
+
 /// Read access to the node's durable records. Keys of different services share one space; a
 /// service prefixes its keys with its own name ("register/…").
 class RecordReader {
@@ -51,6 +63,8 @@
 
   /// Returns all keys that start with @p prefix, in ascending order.
   virtual std::vector<std::string> keys(std::string_view prefix) const = 0;
+
+  virtual RecordSpace space() const { return {}; }
 };
 
 /// Counters and gauges by name. Names are snake_case and end in `_total` for counters.
--- a/src/partition/durable_writer.cpp
+++ b/src/partition/durable_writer.cpp
@@ -23,6 +23,10 @@
   }
   if (!status) {
     context_.counters().add("partition_persist_failures_total");
+    if (!refused_) {
+      refused_ = true;
+      context_.logStateChange("the disk refuses records: " + status.error().detail);
+    }
     context_.startTimer(retryTimer_, kPersistRetry);
     return;
   }
@@ -48,6 +52,10 @@
     requests_.pop_front();
     done();
   }
+  if (refused_ && requests_.empty()) {
+    refused_ = false;
+    context_.logStateChange("the disk takes records again");
+  }
 }
 
 }  // namespace shedshed
--- a/src/partition/durable_writer.h
+++ b/src/partition/durable_writer.h
@@ -41,6 +41,7 @@
   TimerId retryTimer_;
   PersistId nextId_ = 1;
   std::deque<Request> requests_;
+  bool refused_ = false;  ///< The disk refused a request and has not taken it since.
 };
 
 }  // namespace shedshed
--- a/src/partition/partition_core.cpp
+++ b/src/partition/partition_core.cpp
@@ -104,6 +104,12 @@
   return recent && stores_.isReachable(place->heardOwner) ? place->heardOwner : NodeId();
 }
 
+bool PartitionCore::takesNewData(const PartitionId& partition) const {
+  const Place* place = served(partition);
+  return place != nullptr && !context_.records().space().isScarce() &&
+         !place->owner->replicaIsScarce();
+}
+
 void PartitionCore::write(const PartitionId& partition, std::vector<TableEntry> entries,
                           std::function<void(Status)> done) {
   if (!owns(partition)) {
--- a/src/partition/partition_core.h
+++ b/src/partition/partition_core.h
@@ -27,6 +27,7 @@
   bool owns(const PartitionId& partition) const override;
   std::uint64_t epoch(const PartitionId& partition) const override;
   NodeId ownerHint(const PartitionId& partition) const override;
+  bool takesNewData(const PartitionId& partition) const override;
   void write(const PartitionId& partition, std::vector<TableEntry> entries,
              std::function<void(Status)> done) override;
   void confirmOwnership(const PartitionId& partition, std::function<void(Status)> done) override;
@@ -122,6 +123,7 @@
   Time startedAt_;
   bool confirmationScheduled_ = false;
   std::size_t loggedOwned_ = 0;
+  bool loggedScarce_ = false;
 };
 
 }  // namespace shedshed
--- a/src/partition/partition_messages.cpp
+++ b/src/partition/partition_messages.cpp
@@ -166,6 +166,7 @@
   HeartbeatReply reply;
   reply.storeId = options_.storeId;
   reply.round = request.round;
+  reply.isScarce = context_.records().space().isScarce();
   for (const HeartbeatItem& item : request.items) {
     Place* place = find(item.partition);
     if (place == nullptr) {
@@ -187,7 +188,7 @@
   for (const ReplicaPosition& position : reply.positions) {
     Place* place = find(position.partition);
     if (place != nullptr && place->owner) {
-      place->owner->heartbeatAnswered(from, reply.storeId, reply.round, position);
+      place->owner->heartbeatAnswered(from, reply, position);
       scheduleReview(position.partition);
     }
   }
@@ -229,6 +230,15 @@
 }
 
 void PartitionCore::publishCounters() {
+  const RecordSpace space = context_.records().space();
+  context_.counters().set("records_used_bytes", static_cast<double>(space.usedBytes));
+  context_.counters().set("records_total_bytes", static_cast<double>(space.totalBytes));
+  if (space.isScarce() != loggedScarce_) {
+    loggedScarce_ = space.isScarce();
+    context_.logStateChange(std::string(loggedScarce_ ? "little room" : "room again") +
+                            " on the disk: " + std::to_string(space.usedBytes) + " of " +
+                            std::to_string(space.totalBytes) + " bytes used");
+  }
   const std::size_t owned = ownedPartitions();
   if (owned != loggedOwned_) {
     context_.logStateChange("owns " + std::to_string(owned) + " partitions, " +
--- a/src/partition/partition_messages.h
+++ b/src/partition/partition_messages.h
@@ -166,7 +166,8 @@
   std::string storeId;
   std::uint64_t round = 0;
   std::vector<ReplicaPosition> positions;
-  MSGPACK_DEFINE(storeId, round, positions);
+  bool isScarce = false;  ///< The sender has little room left on its disk.
+  MSGPACK_DEFINE(storeId, round, positions, isScarce);
 };
 
 }  // namespace shedshed
--- a/src/partition/partition_owner.cpp
+++ b/src/partition/partition_owner.cpp
@@ -146,17 +146,27 @@
   changed_();
 }
 
-void PartitionOwner::heartbeatAnswered(const NodeId& from, const std::string& storeId,
-                                       std::uint64_t round, const ReplicaPosition& position) {
-  Peer& peer = heardFrom(from, storeId, position.promisedEpoch);
+void PartitionOwner::heartbeatAnswered(const NodeId& from, const HeartbeatReply& reply,
+                                       const ReplicaPosition& position) {
+  Peer& peer = heardFrom(from, reply.storeId, position.promisedEpoch);
+  peer.isScarce = reply.isScarce;
   if (position.promisedEpoch == outcome_.epoch || !options_.safeguards.fencing) {
-    peer.round = std::max(peer.round, round);
+    peer.round = std::max(peer.round, reply.round);
   }
   update(peer, position);
   scrub(from, peer, position);
   changed_();
 }
 
+bool PartitionOwner::replicaIsScarce() const {
+  return std::any_of(outcome_.replicas.begin(), outcome_.replicas.end(),
+                     [this](const MemberList::Member& member) {
+                       const auto found = peers_.find(member.id);
+                       return found != peers_.end() && found->second.storeId == member.storeId &&
+                              found->second.isScarce;
+                     });
+}
+
 PartitionOwner::Peer& PartitionOwner::heardFrom(const NodeId& from, const std::string& storeId,
                                                 std::uint64_t promisedEpoch) {
   Peer& peer = peers_[from];
--- a/src/partition/partition_owner.h
+++ b/src/partition/partition_owner.h
@@ -51,8 +51,11 @@
   void receive(const NodeId& from, const std::string& storeId, const PromiseAnswer& answer);
   void receive(const NodeId& from, const InstallReply& reply);
   void receive(const NodeId& from, const ReplicateReply& reply);
-  void heartbeatAnswered(const NodeId& from, const std::string& storeId, std::uint64_t round,
+  void heartbeatAnswered(const NodeId& from, const HeartbeatReply& reply,
                          const ReplicaPosition& position);
+
+  /// True if a replica has told that its disk has little room left.
+  bool replicaIsScarce() const;
   void tick();
 
   /// Completes what is due. Callbacks may call `write` and `confirm`.
@@ -83,6 +86,7 @@
     Time heardAt;
     Time askedAt;
     Time scrubbedAt;
+    bool isScarce = false;
     int mismatches = 0;
     std::optional<Transfer> transfer;
   };
--- a/src/partition/partition_store.h
+++ b/src/partition/partition_store.h
@@ -88,6 +88,10 @@
   /// The node that this node believes to be the owner; empty if unknown. A hint for redirects.
   virtual NodeId ownerHint(const PartitionId& partition) const = 0;
 
+  /// False if this store or a replica of @p partition has little room left: no new data should be
+  /// taken, so that whatever follows from the present data can still be written.
+  virtual bool takesNewData(const PartitionId& /*partition*/) const { return true; }
+
   /// Replicates @p entries as one atomic write. They are visible to `get` at once; @p done is
   /// called when a majority has them (and has synced them, for `Batches`). Fails with `NotOwner`
   /// when fenced first: the write may or may not survive. Writes of one partition complete in
--- a/src/process/state_process.cpp
+++ b/src/process/state_process.cpp
@@ -17,6 +17,8 @@
 /// Files of a ring on a small disk, and the largest file.
 constexpr std::uint32_t kSmallDiskFiles = 4;
 constexpr std::uint64_t kLargestFile = 16 * kMegabyte;
+/// Bounds the descriptors of the ring.
+constexpr std::uint64_t kMostRingFiles = 64;
 /// Share of the disk that the ring takes, in percent.
 constexpr std::uint64_t kDiskPercent = 75;
 
@@ -25,7 +27,12 @@
 RingKnobs ringKnobsFor(std::uint32_t diskMegabytes) {
   RingKnobs knobs;
   const std::uint64_t room = diskMegabytes * kMegabyte * kDiskPercent / 100;
-  if (diskMegabytes == 0 || room >= knobs.fileBytes * knobs.fileCount) {
+  if (diskMegabytes == 0) {
+    return knobs;
+  }
+  if (room >= knobs.fileBytes * knobs.fileCount) {
+    knobs.fileCount =
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(room / knobs.fileBytes, kMostRingFiles));
     return knobs;
   }
   knobs.fileCount = kSmallDiskFiles;
--- a/src/runtime/disk_writer.h
+++ b/src/runtime/disk_writer.h
@@ -33,6 +33,7 @@
 
   Result<std::optional<std::string>> read(std::string_view key) const override;
   std::vector<std::string> keys(std::string_view prefix) const override;
+  RecordSpace space() const override { return records_.space(); }
 
  private:
   struct Request {
--- a/src/storage/record_ring.cpp
+++ b/src/storage/record_ring.cpp
@@ -123,6 +123,11 @@
   return usage;
 }
 
+RecordSpace RecordRing::space() const {
+  const std::lock_guard<std::mutex> reading(indexMutex_);
+  return {liveBytes_, liveLimitBytes()};
+}
+
 Status RecordRing::poison(const Error& error) {
   if (!poisoned_) {
     poisoned_ = makeError(ErrorCode::StorageFailed, "poisoned by: " + error.detail);
--- a/src/storage/record_ring.h
+++ b/src/storage/record_ring.h
@@ -74,6 +74,7 @@
   Result<std::optional<std::string>> read(std::string_view key) const override;
   std::vector<std::string> keys(std::string_view prefix) const override;
   RingUsage usage() const;
+  RecordSpace space() const override;
 
  private:
   /// The newest version of a key.
--- a/tests/batch/submit_test.cpp
+++ b/tests/batch/submit_test.cpp
@@ -167,6 +167,37 @@
   BOOST_TEST(world.status(id).value().itemCount == 2U);
 }
 
+// Stores took batches until their disks were full; then no partition could change its owner and
+// nothing that had been accepted could be read.
+BOOST_AUTO_TEST_CASE(aStoreWithLittleRoomRefusesNewBatchesAndFinishesTheOld) {
+  World world;
+  world.engines.hold = true;
+  const std::string id = world.accepted(World::batchOf(4, "a"));
+  world.table().scarce = true;
+  const auto refused = world.submit(World::batchOf(1, "b"));
+  world.harness.advance(1s);
+  BOOST_REQUIRE(refused->has_value());
+  BOOST_TEST(((*refused)->error().code == ErrorCode::StorageFull));
+  world.engines.hold = false;
+  while (!world.engines.open.empty()) {
+    world.engines.answerNext();
+  }
+  world.harness.advance(5s);
+  BOOST_TEST(world.status(id).value().done == 4U);
+}
+
+// The bodies of all batches of a day stayed on the disks of all stores until they were full.
+BOOST_AUTO_TEST_CASE(bodiesOfAFinishedBatchGiveTheirRoomBack) {
+  World world;
+  const std::string id = world.accepted(World::batchOf(20, "a"));
+  world.harness.advance(5s);
+  BOOST_REQUIRE(world.status(id).value().done == 20U);
+  const auto& rows = world.table().durable[partitionOf(TableKind::Batches, id)];
+  BOOST_TEST(rows.count(bodyKey(id, 0)) == 0U);
+  BOOST_TEST(world.page(id, 0, 100).results.size() == 20U);
+  BOOST_TEST(world.accepted(World::batchOf(20, "a")) == id);
+}
+
 BOOST_AUTO_TEST_CASE(pagesHaveNoGapsAndReadAgainTheSame) {
   WorldOptions options;
   options.client.maxChunkItems = 7;
--- a/tests/core_harness.h
+++ b/tests/core_harness.h
@@ -31,6 +31,8 @@
     }
     return found;
   }
+  RecordSpace space() const override { return recordSpace; }
+  RecordSpace recordSpace;
   void apply(const std::vector<Mutation>& mutations) {
     for (const Mutation& mutation : mutations) {
       if (mutation.value) {
--- a/tests/partition/replication_test.cpp
+++ b/tests/partition/replication_test.cpp
@@ -306,6 +306,18 @@
   BOOST_TEST(fleet.harness.counters.values["partition_scrub_repairs_total"] == 1);
 }
 
+BOOST_AUTO_TEST_CASE(owner_knows_of_a_replica_with_little_room) {
+  Fleet fleet;
+  const auto order = fleet.order(kBatches);
+  BOOST_TEST(fleet.core(order[0]).takesNewData(kBatches));
+  fleet.harness.records[order[2]].recordSpace = {80, 100};
+  fleet.advance(milliseconds(600));
+  BOOST_TEST(!fleet.core(order[0]).takesNewData(kBatches));
+  fleet.harness.records[order[2]].recordSpace = {20, 100};
+  fleet.advance(milliseconds(600));
+  BOOST_TEST(fleet.core(order[0]).takesNewData(kBatches));
+}
+
 BOOST_AUTO_TEST_CASE(write_survives_a_disk_that_refuses_for_a_while) {
   MemoryRecords unused;
   Harness harness;
--- a/tests/sim/mended_faults_test.cpp
+++ b/tests/sim/mended_faults_test.cpp
@@ -15,8 +15,8 @@
   requireNoViolation("chaos", 94);
 }
 
-// The load went on losing half of the answers to operators after the faults had ended: three changes
-// took effect, and none was acknowledged.
+// The load went on losing half of the answers to operators after the faults had ended: three
+// changes took effect, and none was acknowledged.
 BOOST_AUTO_TEST_CASE(changes_work_again_after_lost_answers) {
   requireNoViolation("lost-answers", 10);
 }
