A process that has stopped everything ends, also when nng does not close a socket

Cause: nng_close of the receiving socket waits for ever for the library's own threads, after the process has drained and synced everything. Evidence: the stacks that the fleet tool appends to the log of a late process, twice the same: NngTransport::stop, Listener::close, nng_close, a condition that nobody signals. Class: a wait without a bound in a library at the end of a process; peers' sockets are closed in the same way now. Ruled out: calls or partitions still held ('drained' is logged 40 ms after 'draining'). Change: receiving is stopped before the close, a close is waited for 1 s on a thread of its own and then left, and the daemons end without waiting for threads.

--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -27,5 +27,5 @@
     ring = std::move(opened).value();
   }
   ControlProcess process(*start.settings(), start.keys(), ring.get());
-  return process.run();
+  endProcess(process.run());
 }
--- a/src/data/main.cpp
+++ b/src/data/main.cpp
@@ -13,5 +13,5 @@
     return start.exitCode();
   }
   DataProcess process(*start.settings(), start.keys());
-  return process.run();
+  endProcess(process.run());
 }
--- a/src/process/process_start.cpp
+++ b/src/process/process_start.cpp
@@ -85,6 +85,11 @@
   usable_ = true;
 }
 
+void endProcess(int exitCode) {
+  std::fflush(nullptr);
+  std::_Exit(exitCode);
+}
+
 void failStop(const Error& error) {
   logError("process", error);
   std::_Exit(kDiskFailureExit);
--- a/src/process/process_start.h
+++ b/src/process/process_start.h
@@ -45,6 +45,9 @@
   int exitCode_ = 0;
 };
 
+/// Ends a process that has stopped everything, without waiting for threads that a library has left.
+[[noreturn]] void endProcess(int exitCode);
+
 /// Logs @p error and ends the process at once: a node whose disk failed must not go on answering.
 [[noreturn]] void failStop(const Error& error);
 
--- a/src/wire/nng_transport.cpp
+++ b/src/wire/nng_transport.cpp
@@ -1,5 +1,7 @@
 #include "wire/nng_transport.h"
 
+#include "wire/bounded_close.h"
+
 #include <atomic>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
@@ -13,12 +15,22 @@
   return "tcp://" + node.address;
 }
 
+/// Closing takes some milliseconds, unless the library waits for ever.
+constexpr std::chrono::milliseconds kCloseLimit{1000};
+
+void closeSocket(nng_socket socket, Counters& counters) {
+  if (!closeWithin(kCloseLimit, [socket] { nng_close(socket); })) {
+    counters.add("wire_sockets_not_closed_total");
+  }
+}
+
 }  // namespace
 
 /// A PUSH socket that dials one peer and reconnects by itself.
 class NngTransport::Peer {
  public:
-  Peer(const NodeId& node, const NngTransportKnobs& knobs) {
+  Peer(const NodeId& node, const NngTransportKnobs& knobs, Counters& counters)
+      : counters_(counters) {
     if (nng_push0_open(&socket_) != 0) {
       return;
     }
@@ -32,7 +44,7 @@
   }
   ~Peer() {
     if (open_) {
-      nng_close(socket_);
+      closeSocket(socket_, counters_);
     }
   }
   Peer(const Peer&) = delete;
@@ -50,6 +62,7 @@
   std::chrono::steady_clock::time_point lastUse{};
 
  private:
+  Counters& counters_;
   nng_socket socket_ = NNG_SOCKET_INITIALIZER;
   bool open_ = false;
 };
@@ -86,9 +99,11 @@
     }
     open_ = false;
     closing_ = true;
-    nng_close(socket_);
     if (aio_ != nullptr) {
       nng_aio_stop(aio_);
+    }
+    closeSocket(socket_, owner_.counters_);
+    if (aio_ != nullptr) {
       nng_aio_free(aio_);
       aio_ = nullptr;
     }
@@ -155,7 +170,7 @@
   closeIdlePeers(now);
   std::shared_ptr<Peer>& peer = peers_[to];
   if (!peer) {
-    peer = std::make_shared<Peer>(to, knobs_);
+    peer = std::make_shared<Peer>(to, knobs_, counters_);
   }
   peer->lastUse = now;
   return peer;
