A ring keeps the sizes that it was created with

Class: a default that decides how existing data is read. Change: the sizes are read from the ring's own headers; the setting counts for a new ring only. At most 12 files, since a restart reads them all. Test: a_ring_keeps_the_sizes_that_it_was_created_with (new code).

--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -19,7 +19,12 @@
   RandomEngine random(std::random_device{}());
   std::unique_ptr<RecordRing> ring;
   if (!start.settings()->dataFolder.empty()) {
-    auto opened = RecordRing::open(files, start.settings()->dataFolder, RingKnobs{}, random);
+    const auto knobs = RecordRing::knobsFor(files, start.settings()->dataFolder, RingKnobs{});
+    if (!knobs) {
+      logError("storage", knobs.error());
+      return 1;
+    }
+    auto opened = RecordRing::open(files, start.settings()->dataFolder, knobs.value(), random);
     if (!opened) {
       logError("storage", opened.error());
       return 1;
--- a/src/process/state_process.cpp
+++ b/src/process/state_process.cpp
@@ -17,8 +17,8 @@
 /// Files of a ring on a small disk, and the largest file.
 constexpr std::uint32_t kSmallDiskFiles = 4;
 constexpr std::uint64_t kLargestFile = 16 * kMegabyte;
-/// Bounds the descriptors of the ring.
-constexpr std::uint64_t kMostRingFiles = 64;
+/// Bounds what a restart reads.
+constexpr std::uint64_t kMostRingFiles = 12;
 /// Share of the disk that the ring takes, in percent.
 constexpr std::uint64_t kDiskPercent = 75;
 
--- a/src/storage/record_ring.h
+++ b/src/storage/record_ring.h
@@ -59,6 +59,10 @@
   static Result<std::unique_ptr<RecordRing>> open(FileSystem& files, std::string folder,
                                                   RingKnobs knobs, RandomEngine& random);
 
+  /// Returns @p wanted with the sizes of the ring in @p folder, or unchanged if there is none: a
+  /// ring keeps the sizes that it was created with.
+  static Result<RingKnobs> knobsFor(FileSystem& files, const std::string& folder, RingKnobs wanted);
+
   /// 32 hexadecimal digits, drawn when the folder was new.
   const std::string& storeId() const { return storeId_; }
 
--- a/src/storage/ring_recovery.cpp
+++ b/src/storage/ring_recovery.cpp
@@ -24,9 +24,11 @@
   return text;
 }
 
+constexpr const char* kFilePrefix = "ring-";
+
 std::string fileName(std::uint32_t slot) {
   char text[32];
-  std::snprintf(text, sizeof text, "ring-%04u", slot);
+  std::snprintf(text, sizeof text, "%s%04u", kFilePrefix, slot);
   return text;
 }
 
@@ -51,6 +53,35 @@
   return ring;
 }
 
+Result<RingKnobs> RecordRing::knobsFor(FileSystem& files, const std::string& folder,
+                                       RingKnobs wanted) {
+  const Status created = files.createFolder(folder);
+  if (!created) {
+    return created.error();
+  }
+  const Result<std::vector<std::string>> names = files.list(folder);
+  if (!names) {
+    return names.error();
+  }
+  for (const std::string& name : names.value()) {
+    if (name.rfind(kFilePrefix, 0) != 0) {
+      continue;
+    }
+    auto file = files.openPreallocated(folder + "/" + name, kFileHeaderBytes);
+    if (!file) {
+      return file.error();
+    }
+    const Result<std::string> bytes = file.value()->readAt(0, kFileHeaderBytes);
+    const auto header = bytes ? decodeFileHeader(bytes.value()) : std::nullopt;
+    if (header) {
+      wanted.fileBytes = header->fileBytes;
+      wanted.fileCount = header->fileCount;
+      return wanted;
+    }
+  }
+  return wanted;
+}
+
 Status RecordRing::openFiles(FileSystem& files) {
   const Status created = files.createFolder(folder_);
   if (!created) {
--- a/tests/storage/record_ring_test.cpp
+++ b/tests/storage/record_ring_test.cpp
@@ -361,6 +361,20 @@
   BOOST_TEST((openRing(disk, random, other).error().code == ErrorCode::InvalidArgument));
 }
 
+// A release that sized new rings by the disk could not open the rings of the one before.
+BOOST_AUTO_TEST_CASE(a_ring_keeps_the_sizes_that_it_was_created_with) {
+  FakeFileSystem disk;
+  RandomEngine random(7);
+  RingKnobs larger = smallKnobs();
+  larger.fileCount = 9;
+  BOOST_TEST(RecordRing::knobsFor(disk, "data", larger).value().fileCount == 9U);
+  BOOST_REQUIRE(openRing(disk, random).value()->append({{"key", "value"}}));
+  const Result<RingKnobs> knobs = RecordRing::knobsFor(disk, "data", larger);
+  BOOST_TEST(knobs.value().fileCount == smallKnobs().fileCount);
+  const auto ring = openRing(disk, random, knobs.value());
+  BOOST_TEST(ring.value()->read("key").value().value() == "value");
+}
+
 BOOST_AUTO_TEST_CASE(real_files_are_read_while_they_are_written_and_reopened) {
   const std::string root =
       (std::filesystem::temp_directory_path() / ("ring_test_" + std::to_string(::getpid())))
