--- a/src/partition/partition_core.cpp
+++ b/src/partition/partition_core.cpp
@@ -17,14 +17,6 @@
 /// Longest time that a hand-back waits for this replica to be brought up to date by the owner.
 constexpr Duration kHandBackLimit = std::chrono::seconds(30);
 
-/// A takeover that lasts longer is told in the log.
-constexpr Duration kSlowTakeover = std::chrono::seconds(2);
-
-std::string nameOf(const PartitionId& partition) {
-  return (partition.kind == TableKind::Slots ? "slot partition " : "batch partition ") +
-         std::to_string(partition.index);
-}
-
 /// Returns a first heartbeat number that an earlier life of the process has hardly used.
 std::uint64_t randomRound(RandomEngine& random) {
   return random() >> 1;
@@ -151,55 +143,6 @@
   }
 }
 
-std::size_t PartitionCore::ownedPartitions() const {
-  return static_cast<std::size_t>(
-      std::count_if(places_.begin(), places_.end(),
-                    [this](const auto& entry) { return served(entry.first) != nullptr; }));
-}
-
-bool PartitionCore::handedOver() const {
-  return std::none_of(places_.begin(), places_.end(), [this](const auto& entry) {
-    return served(entry.first) != nullptr && hasSuccessor(entry.first);
-  });
-}
-
-bool PartitionCore::hasSuccessor(const PartitionId& partition) const {
-  const StoreMembers replicas = stores_.replicas(partition);
-  return std::any_of(replicas.begin(), replicas.end(), [this](const auto& member) {
-    return member.id != context_.self() && stores_.isLive(member) && !stores_.isDraining(member.id);
-  });
-}
-
-RepairProgress PartitionCore::repairProgress() const {
-  RepairProgress progress;
-  progress.isMember = stores_.selfIsMember();
-  for (const auto& entry : places_) {
-    if (!stores_.selfHolds(entry.first)) {
-      continue;
-    }
-    ++progress.total;
-    const Place& place = entry.second;
-    const ReplicaPosition position = place.replica.position();
-    const bool recent = context_.now() - place.heardAt < kOwnershipSilence;
-    const bool follows = recent && place.heardEpoch != 0 &&
-                         position.installedEpoch == place.heardEpoch &&
-                         position.sequence >= place.heardSequence;
-    if (!follows && served(entry.first) == nullptr) {
-      continue;
-    }
-    ++progress.held;
-    const ReplicaState& state = place.replica.state();
-    const bool counted = std::any_of(
-        state.replicas.begin(), state.replicas.end(), [this](const MemberList::Member& member) {
-          return member.id == context_.self() && member.storeId == options_.storeId;
-        });
-    if (counted && state.setEpoch == state.installedEpoch) {
-      ++progress.settled;
-    }
-  }
-  return progress;
-}
-
 PartitionCore::Place* PartitionCore::find(const PartitionId& partition) {
   const auto found = places_.find(partition);
   return found == places_.end() ? nullptr : &found->second;
@@ -351,30 +294,6 @@
   reportSlowTakeover(place);
 }
 
-void PartitionCore::reportSlowTakeover(Place& place) {
-  const bool trying = place.takeover || (place.owner && !place.announced);
-  if (!trying) {
-    if (place.reported) {
-      context_.logStateChange(nameOf(place.replica.partition()) +
-                              (place.announced ? ": owned at last" : ": no longer tried"));
-    }
-    place.unservedSince.reset();
-    place.reported = false;
-    return;
-  }
-  if (!place.unservedSince) {
-    place.unservedSince = context_.now();
-  }
-  if (!place.reported && context_.now() - *place.unservedSince >= kSlowTakeover) {
-    place.reported = true;
-    context_.counters().add("partition_slow_takeovers_total");
-    const std::string progress =
-        place.takeover ? place.takeover->progress() : place.owner->progress();
-    context_.logStateChange(nameOf(place.replica.partition()) + ": slow takeover at epoch " +
-                            std::to_string(place.highestEpoch) + " " + progress);
-  }
-}
-
 bool PartitionCore::mayOwn() const {
   return stores_.selfIsMember() && context_.now() - kStaleOwnership < configuration_.freshUntil();
 }
--- a/src/partition/partition_messages.cpp
+++ b/src/partition/partition_messages.cpp
@@ -229,26 +229,4 @@
   }
 }
 
-void PartitionCore::publishCounters() {
-  const RecordSpace space = context_.records().space();
-  context_.counters().set("records_used_bytes", static_cast<double>(space.usedBytes));
-  context_.counters().set("records_total_bytes", static_cast<double>(space.totalBytes));
-  if (space.isScarce() != loggedScarce_) {
-    loggedScarce_ = space.isScarce();
-    context_.logStateChange(std::string(loggedScarce_ ? "little room" : "room again") +
-                            " on the disk: " + std::to_string(space.usedBytes) + " of " +
-                            std::to_string(space.totalBytes) + " bytes used");
-  }
-  const std::size_t owned = ownedPartitions();
-  if (owned != loggedOwned_) {
-    context_.logStateChange("owns " + std::to_string(owned) + " partitions, " +
-                            std::to_string(loggedOwned_) + " before");
-    loggedOwned_ = owned;
-  }
-  context_.counters().set("partitions_owned", static_cast<double>(owned));
-  const RepairProgress progress = repairProgress();
-  context_.counters().set("partitions_held", progress.held);
-  context_.counters().set("partitions_settled", progress.settled);
-}
-
 }  // namespace shedshed
