--- a/src/wire/nng_transport.cpp
+++ b/src/wire/nng_transport.cpp
@@ -15,22 +15,15 @@
   return "tcp://" + node.address;
 }
 
-/// Closing takes some milliseconds, unless the library waits for ever.
+/// Closing all sockets takes some milliseconds, unless the library waits for ever.
 constexpr std::chrono::milliseconds kCloseLimit{1000};
 
-void closeSocket(nng_socket socket, Counters& counters) {
-  if (!closeWithin(kCloseLimit, [socket] { nng_close(socket); })) {
-    counters.add("wire_sockets_not_closed_total");
-  }
-}
-
 }  // namespace
 
 /// A PUSH socket that dials one peer and reconnects by itself.
 class NngTransport::Peer {
  public:
-  Peer(const NodeId& node, const NngTransportKnobs& knobs, Counters& counters)
-      : counters_(counters) {
+  Peer(const NodeId& node, const NngTransportKnobs& knobs) {
     if (nng_push0_open(&socket_) != 0) {
       return;
     }
@@ -44,7 +37,7 @@
   }
   ~Peer() {
     if (open_) {
-      closeSocket(socket_, counters_);
+      nng_close(socket_);
     }
   }
   Peer(const Peer&) = delete;
@@ -62,7 +55,6 @@
   std::chrono::steady_clock::time_point lastUse{};
 
  private:
-  Counters& counters_;
   nng_socket socket_ = NNG_SOCKET_INITIALIZER;
   bool open_ = false;
 };
@@ -98,17 +90,22 @@
       return;
     }
     open_ = false;
-    closing_ = true;
-    if (aio_ != nullptr) {
-      nng_aio_stop(aio_);
-    }
-    closeSocket(socket_, owner_.counters_);
+    stopReceiving();
+    nng_close(socket_);
     if (aio_ != nullptr) {
       nng_aio_free(aio_);
       aio_ = nullptr;
     }
   }
 
+  /// After this the owner is not called any more.
+  void stopReceiving() {
+    closing_ = true;
+    if (aio_ != nullptr) {
+      nng_aio_stop(aio_);
+    }
+  }
+
  private:
   static void onReceive(void* argument) { static_cast<Listener*>(argument)->receiveDone(); }
 
@@ -147,9 +144,27 @@
 }
 
 void NngTransport::stop() {
-  listener_.reset();
-  const std::lock_guard<std::mutex> lock(peersMutex_);
-  peers_.clear();
+  if (listener_) {
+    listener_->stopReceiving();
+  }
+  const std::shared_ptr<Listener> listener = std::move(listener_);
+  std::map<NodeId, std::shared_ptr<Peer>> peers;
+  {
+    const std::lock_guard<std::mutex> lock(peersMutex_);
+    peers.swap(peers_);
+  }
+  // Once one close of the library waits for ever, all of them do.
+  const auto sockets = std::make_shared<std::pair<std::shared_ptr<Listener>, decltype(peers)>>(
+      listener, std::move(peers));
+  const bool closed = closeWithin(kCloseLimit, [sockets] {
+    if (sockets->first) {
+      sockets->first->close();
+    }
+    sockets->second.clear();
+  });
+  if (!closed) {
+    counters_.add("wire_sockets_not_closed_total");
+  }
 }
 
 void NngTransport::send(const NodeId& to, const Message& message) {
@@ -170,7 +185,7 @@
   closeIdlePeers(now);
   std::shared_ptr<Peer>& peer = peers_[to];
   if (!peer) {
-    peer = std::make_shared<Peer>(to, knobs_, counters_);
+    peer = std::make_shared<Peer>(to, knobs_);
   }
   peer->lastUse = now;
   return peer;
