Tokens of unfinished batch items are bounded for each tenant and route

One ledger for the fleet, on the owner of the slot partition "waiting-tokens". The owner of a batch asks it for a reservation before the commit record, and reports four times a second what waits in its partitions. The ledger keeps everything in memory; a new one asks the proved owner of each of the 64 partitions of batches first, and a grant is proved to come from the ledger. Items count until their result is durable or their batch is ended. A batch that does not fit gets 429; without a ledger for 1.2 s it gets 503, not run. A refusal while a copy of the commit is open waits for that copy's answer instead of ending as "unknown".

Ruled out: a share of the limit for each partition (one batch is larger than 1/64 of it); all batches of a tenant in one partition (exact, but 5 of 14 stores would keep everything); rows of their own (nothing to lose: the batches are durable).

Tests: waiting_tokens_test, waiting_tokens_model_test (80 seeded schedules of moving owners, a moving ledger, lost, late and doubled messages); two mutations (a new ledger that asks nobody, a replaced one that proves nothing) are found.

Token counts of items and the limit itself must be whole and not negative: 400 with the path otherwise.

--- a/src/batch/batch_client.h
+++ b/src/batch/batch_client.h
@@ -33,6 +33,9 @@
   std::vector<std::string> items;  ///< Bodies, in order.
   /// Names of the items, in the same order; empty if they have none. At most `kMaxNamedItems`.
   std::vector<std::string> names;
+  std::string route;  ///< Name of the route that took the batch; empty if none did.
+  /// Tokens of each item, in the same order, that count against the route's bound; may be empty.
+  std::vector<std::uint64_t> tokens;
 };
 
 /// Summary of a batch.
--- a/src/batch/batch_client_core.cpp
+++ b/src/batch/batch_client_core.cpp
@@ -24,12 +24,20 @@
   case ErrorCode::InvalidArgument:
   case ErrorCode::TooLarge:
   case ErrorCode::StorageFull:
+  case ErrorCode::PoolFull:
+  case ErrorCode::StoreUnavailable:
     return true;
   default:
     return false;
   }
 }
 
+/// Refusals of a submission that a copy of it may not meet a moment later.
+bool dependsOnMoment(ErrorCode code) {
+  return code == ErrorCode::StorageFull || code == ErrorCode::PoolFull ||
+         code == ErrorCode::StoreUnavailable;
+}
+
 std::function<void(Result<BatchReply>)> statusOf(std::function<void(Result<BatchStatus>)> done) {
   return [done = std::move(done)](Result<BatchReply> reply) {
     if (!reply) {
@@ -125,6 +133,11 @@
                    "names: one for each item, at most " + std::to_string(kMaxNamedItems)));
     return;
   }
+  const std::size_t counts = submission.tokens.size();
+  if (counts != 0 && counts != submission.items.size()) {
+    done(makeError(ErrorCode::InvalidArgument, "tokens: one count for each item"));
+    return;
+  }
   Upload upload;
   std::string hashes;
   appendItemHashes(hashes, submission.items);
@@ -259,6 +272,12 @@
     chunk.names.assign(names + static_cast<std::ptrdiff_t>(range.first),
                        names + static_cast<std::ptrdiff_t>(range.end));
   }
+  chunk.route = upload.submission.route;
+  if (!upload.submission.tokens.empty()) {
+    const auto tokens = upload.submission.tokens.begin();
+    chunk.tokens.assign(tokens + static_cast<std::ptrdiff_t>(range.first),
+                        tokens + static_cast<std::ptrdiff_t>(range.end));
+  }
   if (chunk.last) {
     upload.commitSent = true;
     upload.openCommits.insert(chunk.copy);
@@ -325,9 +344,9 @@
   if (!isDefinite(code)) {
     return;
   }
-  if (upload != nullptr && code == ErrorCode::StorageFull && !upload->openCommits.empty()) {
-    // Another copy of the commit may still arrive where there is room.
-    finish(number, makeError(ErrorCode::OutcomeUnknown, {}, Ran::Unknown));
+  if (upload != nullptr && dependsOnMoment(code) && !upload->openCommits.empty()) {
+    // Another copy of the commit may still arrive where or when there is room: its answer, or the
+    // deadline, decides.
     return;
   }
   finish(number, makeError(code, reply.detail));
--- a/src/batch/batch_messages.h
+++ b/src/batch/batch_messages.h
@@ -34,9 +34,11 @@
   bool last = false;
   std::uint32_t copy = 0;  ///< Tells the copies of one request apart; echoed.
   std::vector<std::string> items;
-  std::vector<std::string> names;  ///< Of the items of this chunk, or empty.
+  std::vector<std::string> names;     ///< Of the items of this chunk, or empty.
+  std::string route;                  ///< Route that took the batch, or empty.
+  std::vector<std::uint64_t> tokens;  ///< Of the items of this chunk, or empty.
   MSGPACK_DEFINE(request, batchId, tenant, repeatable, itemCount, digest, chunk, last, copy, items,
-                 names);
+                 names, route, tokens);
 };
 
 enum class BatchQueryKind : std::uint8_t {
--- a/src/batch/batch_owner_core.cpp
+++ b/src/batch/batch_owner_core.cpp
@@ -3,8 +3,6 @@
 namespace shedshed {
 namespace {
 
-constexpr TimerId kTickTimer = 1;
-
 PartitionId partitionOfBatch(const std::string& batchId) {
   return partitionOf(TableKind::Batches, batchId);
 }
@@ -19,11 +17,12 @@
                                ConfigurationSource& configuration, const Directory& directory,
                                BatchOwnerOptions options)
     : context_(context), store_(store), settings_(configuration), directory_(directory),
-      options_(options) {}
+      locator_(directory, configuration), options_(options) {}
 
 void BatchOwnerCore::start() {
   store_.setListener(TableKind::Batches, *this);
   context_.startTimer(kTickTimer, options_.tick);
+  reportTokens();
 }
 
 void BatchOwnerCore::receive(const NodeId& from, const Message& message) {
@@ -41,13 +40,27 @@
       dispatchMessage<FinishItem>(message,
                                   [&](FinishItem finish) { onFinish(from, std::move(finish)); }) ||
       dispatchMessage<HandBackRun>(
-          message, [&](const HandBackRun& handBack) { onHandBack(from, handBack); });
+          message, [&](const HandBackRun& handBack) { onHandBack(from, handBack); }) ||
+      dispatchMessage<ReserveTokensReply>(
+          message, [&](const ReserveTokensReply& reply) { onReservation(from, reply); }) ||
+      dispatchMessage<WaitingTokensRequest>(
+          message, [&](const WaitingTokensRequest& request) { onTokensRequest(from, request); });
 }
 
 void BatchOwnerCore::timerExpired(TimerId timer) {
-  if (timer == kTickTimer) {
+  switch (timer) {
+  case kTickTimer:
     tick();
     context_.startTimer(kTickTimer, options_.tick);
+    break;
+  case kReservationTimer:
+    superviseReservations();
+    break;
+  case kTokenReportTimer:
+    reportTokens();
+    break;
+  default:
+    break;
   }
 }
 
--- a/src/batch/batch_owner_core.h
+++ b/src/batch/batch_owner_core.h
@@ -6,8 +6,10 @@
 #include "batch/batch_safeguards.h"
 #include "batch/batch_settings.h"
 #include "batch/batch_state.h"
+#include "batch/waiting_token_messages.h"
 #include "kernel/core.h"
 #include "membership/directory.h"
+#include "partition/owner_locator.h"
 #include "partition/partition_store.h"
 #include "register/configuration_register.h"
 
@@ -82,11 +84,25 @@
   void cancelForOperator(const std::string& batchId, std::function<void(Result<BatchStatus>)> done);
 
  private:
+  static constexpr TimerId kTickTimer = 1;
+  static constexpr TimerId kReservationTimer = 2;
+  static constexpr TimerId kTokenReportTimer = 3;
+
   /// The request that an answer belongs to, and which copy of it.
   struct RequestName {
     std::uint64_t number = 0;
     std::uint32_t copy = 0;
   };
+  /// An open request for the waiting tokens of a submission whose chunks have all arrived.
+  struct Reservation {
+    std::uint64_t lastNumber = 0;  ///< Of the last message that asked for it.
+    std::uint64_t tokens = 0;
+    Time askedAt{};
+    NodeId from;
+    SubmitChunk chunk;  ///< The one that commits.
+    /// Copies of it from others, without their items.
+    std::vector<std::pair<NodeId, SubmitChunk>> others;
+  };
   /// An uncommitted submission.
   struct Upload {
     BatchMeta meta;            ///< `chunkPositions` and `bodyBytes` grow with the chunks.
@@ -94,6 +110,12 @@
     std::uint64_t stored = 0;  ///< Items handed to the store.
     std::uint64_t durableChunks = 0;
     Time lastProgress{};
+    std::optional<Reservation> reservation;
+  };
+  /// A submission that was refused for good.
+  struct Refusal {
+    Time at{};
+    ErrorCode code = ErrorCode::StorageFull;
   };
   /// Rows being erased in steps.
   struct Garbage {
@@ -113,7 +135,7 @@
     std::map<std::string, Garbage> garbage;
     std::vector<RetryWrite> retries;
     /// Submissions that were refused for good, and when: a copy that arrives late must not commit.
-    std::map<std::pair<NodeId, std::uint64_t>, Time> refused;
+    std::map<std::pair<NodeId, std::uint64_t>, Refusal> refused;
     std::uint64_t bodyBytes = 0;
   };
 
@@ -149,6 +171,26 @@
   void abandonUpload(const std::string& batchId, Owned& owned);
   void refuseForGood(const NodeId& from, RequestName request, ErrorCode code, Owned& owned);
 
+  // Waiting tokens (batch_owner_tokens.cpp).
+  bool needsReservation(const SubmitChunk& chunk) const;
+  /// Asks the ledger whether the batch fits; it is committed or refused by the answer.
+  void reserve(const NodeId& from, SubmitChunk chunk, Upload& upload);
+  void sendReservation(const PartitionId& partition, Upload& upload);
+  NodeId ledger() const;
+  static WaitingBatch reservedBatch(const Upload& upload);
+  static void joinReservation(const NodeId& from, const SubmitChunk& chunk,
+                              Reservation& reservation);
+  void onReservation(const NodeId& from, const ReserveTokensReply& reply);
+  /// Learns where the ledger is from an answer of a node that is not. True if that is news.
+  bool redirectToLedger(const NodeId& from, const NodeId& ledger);
+  void commitReserved(Owned& owned, Upload& upload);
+  void refuseReserved(Owned& owned, const std::string& batchId, ErrorCode code);
+  /// Repeats the open reservations and gives up old ones.
+  void superviseReservations();
+  PartitionTokens waitingTokens(const PartitionId& partition, const Owned& owned) const;
+  void reportTokens();
+  void onTokensRequest(const NodeId& from, const WaitingTokensRequest& request);
+
   // Reads and cancels (batch_owner_query.cpp).
   void onQuery(const NodeId& from, BatchQuery query);
   void answerQuery(const NodeId& from, const BatchQuery& query);
@@ -226,8 +268,11 @@
   PartitionStore& store_;
   BatchSettings settings_;
   const Directory& directory_;
+  OwnerLocator locator_;  ///< Finds the ledger of waiting tokens.
   BatchOwnerOptions options_;
   std::map<PartitionId, Owned> owned_;
+  std::uint32_t ledgerAttempt_ = 0;    ///< Tries without an answer of the ledger.
+  std::uint64_t lastTokenNumber_ = 0;  ///< Of the messages to the ledger of waiting tokens.
 };
 
 }  // namespace shedshed
--- a/src/batch/batch_owner_retention.cpp
+++ b/src/batch/batch_owner_retention.cpp
@@ -27,7 +27,7 @@
     eraseBatch(partition, owned, batchId);
   }
   for (auto it = owned.refused.begin(); it != owned.refused.end();) {
-    it = now - it->second >= options_.refusalMemory ? owned.refused.erase(it) : std::next(it);
+    it = now - it->second.at >= options_.refusalMemory ? owned.refused.erase(it) : std::next(it);
   }
   std::vector<std::string> erasable;
   for (const auto& entry : owned.garbage) {
--- a/src/batch/batch_owner_submit.cpp
+++ b/src/batch/batch_owner_submit.cpp
@@ -12,8 +12,9 @@
   return bytes;
 }
 
-void appendNames(BatchMeta& meta, const SubmitChunk& chunk) {
+void appendItemFacts(BatchMeta& meta, const SubmitChunk& chunk) {
   meta.names.insert(meta.names.end(), chunk.names.begin(), chunk.names.end());
+  meta.tokens.insert(meta.tokens.end(), chunk.tokens.begin(), chunk.tokens.end());
 }
 
 bool sameContent(const BatchMeta& meta, const SubmitChunk& chunk) {
@@ -35,7 +36,7 @@
   }
   const auto refused = owned->refused.find({from, chunk.request});
   if (refused != owned->refused.end()) {
-    refuse(from, {chunk.request, chunk.copy}, ErrorCode::StorageFull);
+    refuse(from, {chunk.request, chunk.copy}, refused->second.code);
     return;
   }
   if (owned->garbage.count(chunk.batchId) != 0) {
@@ -47,6 +48,10 @@
   if (upload == nullptr) {
     return;
   }
+  if (upload->reservation && chunk.last) {
+    joinReservation(from, chunk, *upload->reservation);
+    return;
+  }
   if (chunk.chunk != upload->meta.chunkPositions.size()) {
     BatchReply answer;
     answer.request = chunk.request;
@@ -59,7 +64,9 @@
     abandonUpload(chunk.batchId, *owned);
     return;
   }
-  if (chunk.last) {
+  if (chunk.last && needsReservation(chunk)) {
+    reserve(from, std::move(chunk), *upload);
+  } else if (chunk.last) {
     commitChunk(from, std::move(chunk), *owned, *upload);
   } else {
     storeChunk(from, std::move(chunk), *owned, *upload);
@@ -118,6 +125,7 @@
   upload.meta.repeatable = chunk.repeatable;
   upload.meta.itemCount = chunk.itemCount;
   upload.meta.digest = chunk.digest;
+  upload.meta.route = chunk.route;
   upload.lastProgress = context_.now();
   return &upload;
 }
@@ -138,7 +146,7 @@
   const PartitionId partition = partitionOf(TableKind::Batches, chunk.batchId);
   const std::uint64_t index = chunk.chunk;
   appendItemHashes(upload.hashes, chunk.items);
-  appendNames(upload.meta, chunk);
+  appendItemFacts(upload.meta, chunk);
   upload.meta.chunkPositions.push_back(upload.stored);
   upload.meta.bodyBytes += bytesOf(chunk.items);
   upload.stored += chunk.items.size();
@@ -177,7 +185,7 @@
 void BatchOwnerCore::commitChunk(const NodeId& from, SubmitChunk chunk, Owned& owned,
                                  Upload& upload) {
   appendItemHashes(upload.hashes, chunk.items);
-  appendNames(upload.meta, chunk);
+  appendItemFacts(upload.meta, chunk);
   upload.meta.chunkPositions.push_back(upload.stored);
   upload.meta.bodyBytes += bytesOf(chunk.items);
   const std::uint64_t items = upload.stored + chunk.items.size();
@@ -249,7 +257,7 @@
 
 void BatchOwnerCore::refuseForGood(const NodeId& from, RequestName request, ErrorCode code,
                                    Owned& owned) {
-  owned.refused[{from, request.number}] = context_.now();
+  owned.refused[{from, request.number}] = {context_.now(), code};
   refuse(from, request, code);
 }
 
--- a/src/batch/batch_records.h
+++ b/src/batch/batch_records.h
@@ -24,8 +24,11 @@
   std::string digest;                         ///< `itemsDigest` of the whole submission.
   std::vector<std::uint64_t> chunkPositions;  ///< Position of the first item of each chunk.
   std::uint64_t bodyBytes = 0;
-  std::vector<std::string> names;  ///< Of all items in order, or empty.
-  MSGPACK_DEFINE(tenant, repeatable, itemCount, digest, chunkPositions, bodyBytes, names);
+  std::vector<std::string> names;     ///< Of all items in order, or empty.
+  std::string route;                  ///< Route that took the batch, or empty.
+  std::vector<std::uint64_t> tokens;  ///< Of all items in order, or empty.
+  MSGPACK_DEFINE(tenant, repeatable, itemCount, digest, chunkPositions, bodyBytes, names, route,
+                 tokens);
 };
 
 /// Bodies of consecutive items.
--- a/src/batch/batch_safeguards.h
+++ b/src/batch/batch_safeguards.h
@@ -13,6 +13,8 @@
   bool confirmNotFound = true;      ///< "No such batch" is proved with a majority.
   bool unknownAfterLostRun = true;  ///< Unrepeatable started items of a lost run never run again.
   bool cancelStopsStarts = true;    ///< A cancelled batch starts no item.
+  bool askOwnersOfTokens = true;    ///< A new ledger of waiting tokens asks all owners first.
+  bool proveTokenGrants = true;     ///< A reservation of tokens is proved to be the ledger's.
 };
 
 }  // namespace shedshed
--- a/src/batch/batch_settings.cpp
+++ b/src/batch/batch_settings.cpp
@@ -1,5 +1,6 @@
 #include "batch/batch_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shedshed {
@@ -17,4 +18,15 @@
   return tree_.effective(tenant, kBatchRoute);
 }
 
+std::uint64_t BatchSettings::waitingTokenLimit(const std::string& route) const {
+  const RouteSettings* found = tree_.routes().find(route);
+  return found == nullptr ? 0 : found->maxQueuedTokens;
+}
+
+bool BatchSettings::limitsWaitingTokens() const {
+  const auto& routes = tree_.routes().routes();
+  return std::any_of(routes.begin(), routes.end(),
+                     [](const auto& entry) { return entry.second.maxQueuedTokens != 0; });
+}
+
 }  // namespace shedshed
--- a/src/batch/batch_settings.h
+++ b/src/batch/batch_settings.h
@@ -23,6 +23,11 @@
 
   EffectiveSettings effective(const std::string& tenant) const;
 
+  /// Most tokens of one tenant that may wait on @p route; 0 if there is no bound.
+  std::uint64_t waitingTokenLimit(const std::string& route) const;
+  /// True if any route bounds the waiting tokens.
+  bool limitsWaitingTokens() const;
+
  private:
   SettingsTree tree_;
 };
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -11,6 +11,13 @@
   counts_.tenant = meta_.tenant;
   counts_.itemCount = meta_.itemCount;
   counts_.pending = meta_.itemCount;
+  for (std::uint64_t position = 0; position < meta_.itemCount; ++position) {
+    waitingTokens_ += tokensOf(position);
+  }
+}
+
+std::uint64_t BatchState::tokensOf(std::uint64_t position) const {
+  return position < meta_.tokens.size() ? meta_.tokens[position] : 0;
 }
 
 ItemState BatchState::state(std::uint64_t position) const {
@@ -49,7 +56,11 @@
 }
 
 void BatchState::setFinal(std::uint64_t position, ItemState state) {
-  --count(static_cast<ItemState>(states_[position]));
+  const auto before = static_cast<ItemState>(states_[position]);
+  if (!isFinal(before) && isFinal(state)) {
+    waitingTokens_ -= tokensOf(position);
+  }
+  --count(before);
   ++count(state);
   states_[position] = static_cast<std::uint8_t>(state);
   started_.erase(position);
--- a/src/batch/batch_state.h
+++ b/src/batch/batch_state.h
@@ -70,6 +70,9 @@
   /// Returns the position after the last item of @p chunk.
   std::uint64_t chunkEnd(std::uint64_t chunk) const;
 
+  /// Tokens of the items without a final state; 0 once the batch is finished.
+  std::uint64_t waitingTokens() const { return finished_ ? 0 : waitingTokens_; }
+
   bool committed = false;        ///< The commit record is on a majority.
   bool cancelRequested = false;  ///< A cancel has arrived; from here on nothing starts.
   bool finalWriting = false;
@@ -91,10 +94,12 @@
  private:
   std::uint64_t& count(ItemState state);
   std::uint64_t pendingThatMayHaveRun() const;
+  std::uint64_t tokensOf(std::uint64_t position) const;
 
   std::string id_;
   BatchMeta meta_;
   std::vector<std::uint8_t> states_;
+  std::uint64_t waitingTokens_ = 0;
   BatchStatus counts_;
   bool cancelled_ = false;
   bool finished_ = false;
--- /dev/null
+++ b/src/batch/waiting_token_messages.h
@@ -0,0 +1,103 @@
+/// @file
+/// Messages between the owners of batches and the ledger of waiting tokens.
+///
+/// A request that is received twice, or after its answer was lost, has the effect of one.
+#pragma once
+
+#include "kernel/message.h"
+#include "kernel/node_id.h"
+#include "partition/partition_store.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace shedshed {
+
+/// Whose tokens are counted together: those of one tenant on one route.
+struct TokenAccount {
+  std::string tenant;  ///< Empty if the settings name no tenants.
+  std::string route;
+
+  bool operator==(const TokenAccount& other) const {
+    return tenant == other.tenant && route == other.route;
+  }
+  bool operator<(const TokenAccount& other) const {
+    return std::tie(tenant, route) < std::tie(other.tenant, other.route);
+  }
+  MSGPACK_DEFINE(tenant, route);
+};
+
+/// The waiting tokens of one batch.
+struct WaitingBatch {
+  std::string batchId;
+  TokenAccount account;
+  std::uint64_t tokens = 0;
+  MSGPACK_DEFINE(batchId, account, tokens);
+};
+
+/// All batches with waiting tokens in one partition, as its owner at `epoch` knows them, with
+/// those for which it has asked for a reservation.
+struct PartitionTokens {
+  PartitionId partition;
+  std::uint64_t epoch = 0;
+  std::vector<WaitingBatch> batches;
+  MSGPACK_DEFINE(partition, epoch, batches);
+};
+
+/// Owner of a batch → ledger: may this batch be accepted?
+struct ReserveTokens {
+  static constexpr ServiceId kService = ServiceId::WaitingTokens;
+  static constexpr std::uint16_t kKind = 1;
+  std::uint64_t number = 0;  ///< Numbers all messages of one process to the ledger.
+  PartitionId partition;     ///< Of the batch.
+  std::uint64_t epoch = 0;   ///< At which the sender owns that partition.
+  WaitingBatch batch;
+  MSGPACK_DEFINE(number, partition, epoch, batch);
+};
+
+enum class ReserveOutcome : std::uint8_t {
+  Granted = 1,
+  Full = 2,      ///< The tokens do not fit under the limit.
+  NotReady = 3,  ///< The receiver is not the ledger, or does not know all batches yet: ask again.
+};
+
+/// Ledger → owner of a batch; also the answer to a report that does not reach the ledger, with an
+/// empty batch id.
+struct ReserveTokensReply {
+  static constexpr ServiceId kService = ServiceId::BatchOwner;
+  static constexpr std::uint16_t kKind = 20;
+  std::uint64_t number = 0;  ///< Of the request.
+  PartitionId partition;
+  std::string batchId;
+  ReserveOutcome outcome = ReserveOutcome::NotReady;
+  NodeId ledger;  ///< With `NotReady`: the node that the sender believes to be the ledger.
+  MSGPACK_DEFINE(number, partition, batchId, outcome, ledger);
+};
+
+/// Owner of batches → ledger: what waits in the partitions that the sender owns.
+struct WaitingTokensReport {
+  static constexpr ServiceId kService = ServiceId::WaitingTokens;
+  static constexpr std::uint16_t kKind = 2;
+  std::uint64_t number = 0;
+  /// Epoch of the `WaitingTokensRequest` that this answers, with the ownership proved after it
+  /// arrived; 0 in other reports.
+  std::uint64_t ledgerEpoch = 0;
+  std::vector<PartitionTokens> partitions;
+  MSGPACK_DEFINE(number, ledgerEpoch, partitions);
+};
+
+/// A new ledger → all live stores: what waits in the partitions that you own?
+struct WaitingTokensRequest {
+  static constexpr ServiceId kService = ServiceId::BatchOwner;
+  static constexpr std::uint16_t kKind = 21;
+  std::uint64_t ledgerEpoch = 0;
+  std::vector<PartitionId> partitions;  ///< Those not heard of yet.
+  MSGPACK_DEFINE(ledgerEpoch, partitions);
+};
+
+}  // namespace shedshed
+
+MSGPACK_ADD_ENUM(shedshed::ReserveOutcome);
--- /dev/null
+++ b/src/batch/waiting_token_table.cpp
@@ -0,0 +1,61 @@
+#include "batch/waiting_token_table.h"
+
+#include <utility>
+
+namespace shedshed {
+
+bool WaitingTokenTable::adopt(const PartitionTokens& report, std::uint64_t number) {
+  Partition& partition = partitions_[report.partition];
+  const bool sameOwner = report.epoch == partition.epoch;
+  if (report.epoch < partition.epoch || (sameOwner && number <= partition.lastReport)) {
+    return false;
+  }
+  std::map<std::string, Entry> batches;
+  for (const WaitingBatch& batch : report.batches) {
+    batches[batch.batchId] = {batch, number};
+  }
+  for (auto& [batchId, entry] : partition.batches) {
+    // Asked for after this report was written: the report can't name it yet. One of an earlier
+    // epoch is in the report if it was committed, and can't be committed any more if it is not.
+    if (sameOwner && entry.number > number) {
+      batches[batchId] = std::move(entry);
+    }
+  }
+  partition.batches = std::move(batches);
+  partition.epoch = report.epoch;
+  partition.lastReport = number;
+  return true;
+}
+
+ReserveOutcome WaitingTokenTable::reserve(const ReserveTokens& request, std::uint64_t limit) {
+  Partition& partition = partitions_[request.partition];
+  if (request.epoch < partition.epoch) {
+    return ReserveOutcome::NotReady;
+  }
+  // A batch that is counted already, since it was asked for before, does not count against itself.
+  partition.batches.erase(request.batch.batchId);
+  const bool fits = limit == 0 || waiting(request.batch.account) + request.batch.tokens <= limit;
+  if (!fits) {
+    return ReserveOutcome::Full;
+  }
+  if (request.epoch > partition.epoch) {
+    // The batches of the earlier epoch count until the new owner has told which of them exist.
+    partition.epoch = request.epoch;
+    partition.lastReport = 0;
+  }
+  partition.batches[request.batch.batchId] = {request.batch, request.number};
+  return ReserveOutcome::Granted;
+}
+
+std::uint64_t WaitingTokenTable::waiting(const TokenAccount& account) const {
+  std::uint64_t total = 0;
+  for (const auto& partition : partitions_) {
+    for (const auto& entry : partition.second.batches) {
+      const WaitingBatch& batch = entry.second.batch;
+      total += batch.account == account ? batch.tokens : 0;
+    }
+  }
+  return total;
+}
+
+}  // namespace shedshed
--- a/src/gateway/batch_filter.cpp
+++ b/src/gateway/batch_filter.cpp
@@ -87,11 +87,13 @@
   submission.tenant = tenant ? tenant.value() : std::string();
   submission.clientKey = call.call.requestId;
   submission.repeatableItems = true;
+  submission.route = call.route->name;
   for (BatchItemCall& item : items.value()) {
     item.route = call.route->name;
     item.service = call.route->services.front().service;
     item.host = call.call.host;
     submission.names.push_back(item.name);
+    submission.tokens.push_back(item.tokens);
     submission.items.push_back(encodeRecord(item));
   }
   const auto hand = [this, submission](auto done) { services_.batches.submit(submission, done); };
--- a/src/kernel/message.cpp
+++ b/src/kernel/message.cpp
@@ -36,6 +36,8 @@
     return "admission";
   case ServiceId::Succession:
     return "succession";
+  case ServiceId::WaitingTokens:
+    return "waiting_tokens";
   }
   return "unknown";
 }
--- a/src/settings/route_table.cpp
+++ b/src/settings/route_table.cpp
@@ -8,6 +8,7 @@
 
 constexpr double kMostMilliseconds = 86400000;
 constexpr double kMostCount = 1e9;
+constexpr double kMostTokens = 1e15;
 
 struct KindWord {
   const char* word;
@@ -55,6 +56,20 @@
   return status;
 }
 
+/// Reads an optional whole number of tokens.
+Status readTokens(const cJSON* object, const char* name, const std::string& path,
+                  std::uint64_t& tokens) {
+  double number = static_cast<double>(tokens);
+  Status status = readNumber(object, name, path, 0, kMostTokens, number);
+  if (status && number != std::floor(number)) {
+    return jsonError(path + "/" + name, jsonMember(object, name), "a whole number");
+  }
+  if (status) {
+    tokens = static_cast<std::uint64_t>(number);
+  }
+  return status;
+}
+
 /// Reads an optional duration given as a number of @p unit.
 Status readDuration(const cJSON* object, const char* name, const std::string& path, Duration unit,
                     Duration& duration) {
@@ -182,6 +197,7 @@
                         readDuration(node, "max_wait_s", path, second, route.maxWait),
                         readCount(node, "priority", path, route.priority),
                         readCount(node, "max_attempts", path, route.maxAttempts),
+                        readTokens(node, "max_queued_tokens", path, route.maxQueuedTokens),
                         readFlag(node, "public", path, route.isPublic),
                         readFlag(node, "resumable", path, route.resumable),
                         parseRouteServices(node, path, route)});
--- a/src/settings/route_table.h
+++ b/src/settings/route_table.h
@@ -38,11 +38,13 @@
   Duration timeout{0};    ///< `timeout_ms`: the longest that a call is held.
   Duration objective{0};  ///< `target_ms`: to the whole answer, or to the first event.
   std::uint32_t priority = 0;
-  std::uint32_t maxAttempts = 1;         ///< Engines that one call may be sent to.
-  bool isPublic = false;                 ///< Calls need no key.
-  bool resumable = false;                ///< A stream may go on at another engine.
-  Duration runObjective{0};              ///< `run_target_ms`: all results of a batch are due.
-  Duration maxWait{0};                   ///< `max_wait_s`: after that an item may be given up.
+  std::uint32_t maxAttempts = 1;  ///< Engines that one call may be sent to.
+  bool isPublic = false;          ///< Calls need no key.
+  bool resumable = false;         ///< A stream may go on at another engine.
+  Duration runObjective{0};       ///< `run_target_ms`: all results of a batch are due.
+  Duration maxWait{0};            ///< `max_wait_s`: after that an item may be given up.
+  /// `max_queued_tokens`: most tokens of one tenant's unfinished items; 0: not bounded.
+  std::uint64_t maxQueuedTokens = 0;
   std::vector<WeightedService> services; /*!< Not empty; weights add up to more than 0. */
 };
 
--- /dev/null
+++ b/tests/batch/waiting_tokens_model_test.cpp
@@ -0,0 +1,384 @@
+// The bound of waiting tokens under moving owners, a moving ledger, and lost, late and doubled
+// messages: seeded schedules over three stores.
+#include "batch/batch_owner_core.h"
+#include "batch/waiting_token_ledger.h"
+#include "batch_world.h"
+
+namespace shedshed::test {
+namespace {
+
+constexpr std::uint64_t kLimit = 100;
+constexpr int kStores = 3;
+constexpr int kSteps = 2500;
+constexpr int kSeeds = 80;
+
+const char* const kSettings =
+    R"({"services":{"s":{}},"routes":{"r":{"host":"h","path_prefix":"/","kind":"batch",)"
+    R"("timeout_ms":1000,"service":"s","max_queued_tokens":100}}})";
+
+/// What a majority of replicas holds.
+struct Truth {
+  struct Row {
+    int owner = 0;
+    std::uint64_t epoch = 1;
+    std::map<std::string, std::string> rows;
+  };
+  std::map<PartitionId, Row> partitions;
+};
+
+/// One store's view: it believes to own a partition until it is told otherwise.
+class ModelStore : public PartitionStore {
+ public:
+  ModelStore(Truth& truth, int index) : truth_(truth), index_(index) {}
+  void setListener(TableKind, PartitionListener& listener) override { listener_ = &listener; }
+  bool owns(const PartitionId& partition) const override { return believed_.count(partition) != 0; }
+  std::uint64_t epoch(const PartitionId& partition) const override {
+    const auto found = believed_.find(partition);
+    return found == believed_.end() ? 0 : found->second;
+  }
+  NodeId ownerHint(const PartitionId& partition) const override {
+    if (owns(partition)) {
+      return NodeId{"s" + std::to_string(index_)};
+    }
+    const auto known = hints_.find(partition);
+    return known == hints_.end() ? NodeId() : NodeId{"s" + std::to_string(known->second)};
+  }
+  void write(const PartitionId& partition, std::vector<TableEntry> entries,
+             std::function<void(Status)> done) override {
+    FakePartitionStore::apply(rows_[partition], entries);
+    pending.push_back([this, partition, entries = std::move(entries), done = std::move(done),
+                       epoch = epoch(partition)] {
+      Truth::Row& row = truth_.partitions.at(partition);
+      const bool current = row.epoch == epoch;
+      if (current) {
+        FakePartitionStore::apply(row.rows, entries);
+      }
+      done(current ? okStatus() : Status(makeError(ErrorCode::NotOwner)));
+    });
+  }
+  void confirmOwnership(const PartitionId& partition, std::function<void(Status)> done) override {
+    pending.push_back([this, partition, done = std::move(done), epoch = epoch(partition)] {
+      const bool current = truth_.partitions.at(partition).epoch == epoch;
+      done(current ? okStatus() : Status(makeError(ErrorCode::NotOwner)));
+    });
+  }
+  std::optional<std::string> get(const PartitionId& partition,
+                                 std::string_view key) const override {
+    const auto& table = rows_[partition];
+    const auto found = table.find(std::string(key));
+    return found == table.end() ? std::nullopt : std::optional<std::string>(found->second);
+  }
+  void
+  forEach(const PartitionId& partition, std::string_view prefix,
+          const std::function<bool(std::string_view, const std::string&)>& visit) const override {
+    const auto table = rows_[partition];
+    for (auto it = table.lower_bound(std::string(prefix));
+         it != table.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+      if (!visit(it->first, it->second)) {
+        return;
+      }
+    }
+  }
+  void take(const PartitionId& partition) {
+    Truth::Row& row = truth_.partitions[partition];
+    row.owner = index_;
+    rows_[partition] = row.rows;
+    believed_[partition] = ++row.epoch;
+    if (partition.kind == TableKind::Batches) {
+      listener_->ownershipGained(partition, row.epoch, RecoveryKind::Complete);
+    }
+  }
+  /// Learns what it has lost, and who owns.
+  void learn() {
+    for (const auto& [partition, row] : truth_.partitions) {
+      hints_[partition] = row.owner;
+    }
+    for (auto it = believed_.begin(); it != believed_.end();) {
+      if (truth_.partitions.at(it->first).epoch == it->second) {
+        ++it;
+        continue;
+      }
+      const PartitionId lost = it->first;
+      it = believed_.erase(it);
+      if (lost.kind == TableKind::Batches) {
+        listener_->ownershipLost(lost);
+      }
+    }
+  }
+  std::deque<std::function<void()>> pending;
+
+ private:
+  Truth& truth_;
+  int index_;
+  PartitionListener* listener_ = nullptr;
+  std::map<PartitionId, std::uint64_t> believed_;
+  std::map<PartitionId, int> hints_;
+  mutable std::map<PartitionId, std::map<std::string, std::string>> rows_;
+};
+
+class TokenModel {
+ public:
+  TokenModel(std::uint64_t seed, BatchSafeguards safeguards) : random_(seed) {
+    harness_.random.seed(seed);
+    configuration_.values[kSettingsRegister] = RegisterValue{1, kSettings};
+    MemberList members;
+    for (int index = 0; index < kStores; ++index) {
+      const std::string name = "s" + std::to_string(index);
+      members.stores.push_back({NodeId{name}, name});
+    }
+    configuration_.values[kMembersRegister] = RegisterValue{1, encodeRecord(members)};
+    BatchOwnerOptions options;
+    options.safeguards = safeguards;
+    for (int index = 0; index < kStores; ++index) {
+      const std::string name = "s" + std::to_string(index);
+      directory_.set(name, NodeRole::Store, NodeState::Alive);
+      stores_.push_back(std::make_unique<ModelStore>(truth_, index));
+      auto& ownerContext = harness_.context(name, ServiceId::BatchOwner);
+      auto& ledgerContext = harness_.context(name, ServiceId::WaitingTokens);
+      owners_.push_back(std::make_unique<BatchOwnerCore>(ownerContext, *stores_.back(),
+                                                         configuration_, directory_, options));
+      ledgers_.push_back(std::make_unique<WaitingTokenLedger>(
+          ledgerContext, *stores_.back(), configuration_, directory_, safeguards));
+      harness_.attach(ownerContext, *owners_.back());
+      harness_.attach(ledgerContext, *ledgers_.back());
+    }
+    for (std::uint32_t index = 0; index < kPartitionCount; ++index) {
+      truth_.partitions[PartitionId{TableKind::Batches, index}];
+    }
+    truth_.partitions[WaitingTokenLedger::partition()];
+    for (auto& owner : owners_) {
+      owner->start();
+    }
+    for (const auto& entry : truth_.partitions) {
+      stores_[below(kStores)]->take(entry.first);
+    }
+  }
+
+  /// Runs the schedule. @return the most tokens that ever waited in accepted batches
+  std::uint64_t run() {
+    std::uint64_t most = 0;
+    for (int step = 0; step < kSteps; ++step) {
+      act();
+      most = std::max(most, waiting());
+    }
+    return most;
+  }
+  std::size_t accepted() const { return accepted_.size(); }
+
+ private:
+  std::size_t below(std::size_t bound) { return random_() % bound; }
+
+  void act() {
+    switch (below(20)) {
+    case 0:
+      submit();
+      break;
+    case 1:
+      cancelOne();
+      break;
+    case 2:
+      moveOne();
+      break;
+    case 3:
+    case 11:
+    case 12:
+      stores_[below(kStores)]->learn();
+      break;
+    case 4:
+    case 5:
+      harness_.now += 20ms;
+      harness_.fireTimerDueBy(harness_.now);
+      break;
+    case 6:
+    case 7:
+    case 8:
+    case 9:
+    case 10:
+      complete();
+      break;
+    default:
+      for (std::size_t count = below(40); count > 0; --count) {
+        deliver();
+      }
+      break;
+    }
+  }
+  void submit() {
+    SubmitChunk chunk;
+    const bool again = !sent_.empty() && below(4) == 0;
+    if (again) {
+      chunk = sent_[below(sent_.size())];
+    } else {
+      chunk.request = ++lastRequest_;
+      chunk.batchId = "b" + std::to_string(lastRequest_);
+      chunk.itemCount = 1;
+      chunk.items = {"item"};
+      chunk.route = "r";
+      chunk.tokens = {20 + 10 * below(5)};
+      chunk.last = true;
+      std::string hashes;
+      appendItemHashes(hashes, chunk.items);
+      chunk.digest = itemsDigest(hashes);
+      sent_.push_back(chunk);
+    }
+    const PartitionId partition = partitionOf(TableKind::Batches, chunk.batchId);
+    const int owner = truth_.partitions.at(partition).owner;
+    const std::size_t to = below(5) == 0 ? below(kStores) : static_cast<std::size_t>(owner);
+    harness_.queue.push_back(
+        {NodeId{"front"}, NodeId{"s" + std::to_string(to)}, encodeMessage(chunk)});
+  }
+  void cancelOne() {
+    if (accepted_.empty()) {
+      return;
+    }
+    auto chosen = accepted_.begin();
+    std::advance(chosen, static_cast<std::ptrdiff_t>(below(accepted_.size())));
+    BatchQuery query;
+    query.kind = static_cast<std::uint8_t>(BatchQueryKind::Cancel);
+    query.batchId = *chosen;
+    ended_.insert(*chosen);
+    const PartitionId partition = partitionOf(TableKind::Batches, query.batchId);
+    const int owner = truth_.partitions.at(partition).owner;
+    harness_.queue.push_back(
+        {NodeId{"front"}, NodeId{"s" + std::to_string(owner)}, encodeMessage(query)});
+  }
+  void moveOne() {
+    if (below(4) != 0) {
+      return;
+    }
+    const std::size_t to = below(kStores);
+    if (below(3) == 0) {
+      stores_[to]->take(WaitingTokenLedger::partition());
+      return;
+    }
+    if (!sent_.empty()) {
+      const std::string& batchId = sent_[below(sent_.size())].batchId;
+      stores_[to]->take(partitionOf(TableKind::Batches, batchId));
+    }
+  }
+  void complete() {
+    ModelStore& store = *stores_[below(kStores)];
+    for (std::size_t count = below(20); count > 0 && !store.pending.empty(); --count) {
+      const auto done = std::move(store.pending.front());
+      store.pending.pop_front();
+      done();
+    }
+  }
+  void deliver() {
+    if (harness_.queue.empty()) {
+      return;
+    }
+    // Messages stay in their rough order; a few are far behind.
+    const std::size_t window = below(10) == 0 ? harness_.queue.size() : 3;
+    const std::size_t index = below(std::min(window, harness_.queue.size()));
+    if (below(15) == 0) {
+      harness_.queue.erase(harness_.queue.begin() + static_cast<std::ptrdiff_t>(index));
+      return;
+    }
+    harness_.deliverAt(index, below(15) == 0);
+  }
+  std::uint64_t waiting() {
+    std::uint64_t total = 0;
+    for (const SubmitChunk& chunk : sent_) {
+      const PartitionId partition = partitionOf(TableKind::Batches, chunk.batchId);
+      if (truth_.partitions.at(partition).rows.count(metaKey(chunk.batchId)) == 0) {
+        continue;
+      }
+      accepted_.insert(chunk.batchId);
+      total += ended_.count(chunk.batchId) != 0 ? 0 : chunk.tokens.front();
+    }
+    return total;
+  }
+
+  Harness harness_;
+  RandomEngine random_;
+  FakeDirectory directory_;
+  FakeConfiguration configuration_;
+  Truth truth_;
+  std::vector<std::unique_ptr<ModelStore>> stores_;
+  std::vector<std::unique_ptr<BatchOwnerCore>> owners_;
+  std::vector<std::unique_ptr<WaitingTokenLedger>> ledgers_;
+  std::vector<SubmitChunk> sent_;
+  std::set<std::string> accepted_;
+  std::set<std::string> ended_;
+  std::uint64_t lastRequest_ = 0;
+};
+
+/// The most tokens over the limit that any seed shows, and the batches accepted by all.
+std::pair<std::uint64_t, std::size_t> runSeeds(const BatchSafeguards& safeguards) {
+  std::uint64_t worst = 0;
+  std::size_t accepted = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    TokenModel model(static_cast<std::uint64_t>(seed), safeguards);
+    worst = std::max(worst, model.run());
+    accepted += model.accepted();
+  }
+  return {worst, accepted};
+}
+
+/// Asks a ledger that was replaced and has not learnt of it. @return true if it grants
+bool replacedLedgerGrants(const BatchSafeguards& safeguards) {
+  Harness harness;
+  FakeDirectory directory;
+  FakeConfiguration configuration;
+  Truth truth;
+  ModelStore first(truth, 0);
+  ModelStore second(truth, 1);
+  HarnessContext& context = harness.context("s0", ServiceId::WaitingTokens);
+  WaitingTokenLedger ledger(context, first, configuration, directory, safeguards);
+  harness.attach(context, ledger);
+  first.take(WaitingTokenLedger::partition());
+  WaitingTokensReport report;
+  report.number = 1;
+  report.ledgerEpoch = first.epoch(WaitingTokenLedger::partition());
+  for (std::uint32_t index = 0; index < kPartitionCount; ++index) {
+    report.partitions.push_back({PartitionId{TableKind::Batches, index}, 1, {}});
+  }
+  ledger.receive(NodeId{"s1"}, encodeMessage(report));
+  BOOST_REQUIRE(ledger.isReady());
+  second.take(WaitingTokenLedger::partition());
+  ReserveTokens request;
+  request.number = 2;
+  request.partition = PartitionId{TableKind::Batches, 0};
+  request.epoch = 1;
+  request.batch = {"b", {"", "r"}, 10};
+  ledger.receive(NodeId{"s1"}, encodeMessage(request));
+  while (!first.pending.empty()) {
+    const auto done = std::move(first.pending.front());
+    first.pending.pop_front();
+    done();
+  }
+  return std::any_of(harness.queue.begin(), harness.queue.end(), [](const auto& envelope) {
+    return envelope.message.kind == ReserveTokensReply::kKind;
+  });
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(waiting_tokens_model)
+
+BOOST_AUTO_TEST_CASE(noScheduleExceedsTheLimit) {
+  const auto [worst, accepted] = runSeeds({});
+  BOOST_TEST(worst <= kLimit);
+  BOOST_TEST(accepted > 300U);
+}
+
+BOOST_AUTO_TEST_CASE(mutation_aNewLedgerThatAsksNobodyExceedsTheLimit) {
+  BatchSafeguards safeguards;
+  safeguards.askOwnersOfTokens = false;
+  BOOST_TEST(runSeeds(safeguards).first > kLimit);
+}
+
+BOOST_AUTO_TEST_CASE(aReplacedLedgerGrantsNothing) {
+  BOOST_TEST(!replacedLedgerGrants({}));
+}
+
+BOOST_AUTO_TEST_CASE(mutation_aReplacedLedgerThatProvesNothingGrants) {
+  BatchSafeguards safeguards;
+  safeguards.proveTokenGrants = false;
+  BOOST_TEST(replacedLedgerGrants(safeguards));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shedshed::test
--- /dev/null
+++ b/tests/batch/waiting_tokens_test.cpp
@@ -0,0 +1,107 @@
+// Tokens of accepted batches that wait on a route stay below the route's bound.
+#include "batch/waiting_token_ledger.h"
+#include "batch_world.h"
+
+namespace shedshed::test {
+namespace {
+
+const char* const kSettings =
+    R"({"services":{"s":{}},"routes":{"r":{"host":"h","path_prefix":"/","kind":"batch",)"
+    R"("timeout_ms":1000,"service":"s","max_queued_tokens":100}}})";
+
+/// A world whose settings bound the route "r" to 100 tokens, with a ledger on each store.
+struct TokenWorld {
+  TokenWorld() {
+    world.configuration.values[kSettingsRegister] = RegisterValue{1, kSettings};
+    for (const std::string name : {"s1", "s2"}) {
+      auto& ownerContext = world.harness.context(name, ServiceId::BatchOwner);
+      world.stores[name] = std::make_unique<World::StoreNode>(world, name, ownerContext);
+      world.harness.attach(ownerContext, world.stores[name]->core);
+      world.stores[name]->core.start();
+      auto& context = world.harness.context(name, ServiceId::WaitingTokens);
+      ledgers[name] = std::make_unique<WaitingTokenLedger>(context, world.stores[name]->table,
+                                                           world.configuration, world.directory);
+      world.harness.attach(context, *ledgers[name]);
+    }
+    world.stores["s1"]->table.begin(1);
+    world.stores["s2"]->table.hint = NodeId{"s1"};
+    world.engines.hold = true;
+  }
+  /// A batch of two items with @p tokens each.
+  static BatchSubmission batch(const std::string& key, std::uint64_t tokens) {
+    BatchSubmission submission = World::batchOf(2, key, true, key);
+    submission.route = "r";
+    submission.tokens = {tokens, tokens};
+    return submission;
+  }
+  /// `Internal` if the batch was accepted.
+  ErrorCode refusalOf(const BatchSubmission& submission) {
+    const auto answer = world.submit(submission);
+    world.waitFor(*answer);
+    return (*answer)->has_error() ? (*answer)->error().code : ErrorCode::Internal;
+  }
+  bool accepts(const BatchSubmission& submission) {
+    return refusalOf(submission) == ErrorCode::Internal;
+  }
+
+  World world;
+  std::map<std::string, std::unique_ptr<WaitingTokenLedger>> ledgers;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(waiting_tokens)
+
+BOOST_AUTO_TEST_CASE(aBatchThatDoesNotFitIsRefusedAndAResendIsNot) {
+  TokenWorld fleet;
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("first", 40)));
+  BOOST_TEST((fleet.refusalOf(TokenWorld::batch("second", 11)) == ErrorCode::PoolFull));
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("first", 40)));
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("third", 10)));
+}
+
+BOOST_AUTO_TEST_CASE(finishedItemsMakeRoom) {
+  TokenWorld fleet;
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("first", 40)));
+  fleet.world.harness.advance(1s);
+  fleet.world.engines.answerNext();
+  fleet.world.harness.advance(1s);
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("second", 30)));
+}
+
+BOOST_AUTO_TEST_CASE(anEndedBatchMakesRoom) {
+  TokenWorld fleet;
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("first", 50)));
+  BOOST_TEST(fleet.world.cancel(batchIdOfClientKey("acme", "first")).has_value());
+  fleet.world.harness.advance(1s);
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("second", 50)));
+}
+
+BOOST_AUTO_TEST_CASE(aNewLedgerKnowsWhatWaits) {
+  TokenWorld fleet;
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("first", 40)));
+  fleet.world.failover(false);
+  BOOST_TEST((fleet.refusalOf(TokenWorld::batch("second", 11)) == ErrorCode::PoolFull));
+  BOOST_TEST(fleet.accepts(TokenWorld::batch("third", 10)));
+  BOOST_TEST(fleet.ledgers["s2"]->isReady());
+}
+
+BOOST_AUTO_TEST_CASE(withoutALedgerTheBatchIsRefusedAndNotRun) {
+  TokenWorld fleet;
+  fleet.world.harness.filter = [](const Harness::Envelope& envelope) {
+    return envelope.message.service != ServiceId::WaitingTokens;
+  };
+  BOOST_TEST((fleet.refusalOf(TokenWorld::batch("first", 1)) == ErrorCode::StoreUnavailable));
+  fleet.world.installFilter();
+  fleet.world.harness.advance(5s);
+  BOOST_TEST(fleet.world.engines.runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aBatchOverTheWholeLimitIsNeverAccepted) {
+  TokenWorld fleet;
+  BOOST_TEST((fleet.refusalOf(TokenWorld::batch("huge", 1ULL << 40U)) == ErrorCode::PoolFull));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shedshed::test
