Owners ask the holders of slots that they have not heard of for 2 s

An owner now asks the holder of each slot that was granted or renewed more than 2 s ago. The holder renews the tokens that it holds and releases those that it neither holds nor is asking for; tokens are never used twice, so an unknown one is of an earlier life or was given up. A silent holder keeps its slot for its time to live: it may be frozen. Numbers of quotas are not asked for.

Ruled out: a shorter time to live (a frozen holder would lose its slot), a new life that disowns all of an address (a late message of the old life can't be told from one of the new).

--- a/src/slots/slot_client_core.cpp
+++ b/src/slots/slot_client_core.cpp
@@ -59,7 +59,9 @@
       dispatchMessage<RenewSlotsReply>(
           message, [&](const RenewSlotsReply& typed) { holder_.renewed(from, typed); }) ||
       dispatchMessage<RecoveryNotice>(
-          message, [&](const RecoveryNotice& typed) { holder_.recoveryNoticed(from, typed); });
+          message, [&](const RecoveryNotice& typed) { holder_.recoveryNoticed(from, typed); }) ||
+      dispatchMessage<HeldSlotsQuery>(message,
+                                      [&](const HeldSlotsQuery& typed) { checkHeld(from, typed); });
 }
 
 void SlotClientCore::timerExpired(TimerId timer) {
@@ -160,6 +162,18 @@
   ask(id);
 }
 
+/// A token that is neither held nor being asked for is one of an earlier life of this node, or was
+/// given up: no call counts on it and none ever will.
+void SlotClientCore::checkHeld(const NodeId& from, const HeldSlotsQuery& query) {
+  std::vector<SlotClaim> unknown;
+  for (const SlotClaim& claim : query.claims) {
+    if (!holder_.holds(claim.token) && asking_.count(claim.token) == 0) {
+      unknown.push_back(claim);
+    }
+  }
+  holder_.answerCheck(from, query.claims, unknown);
+}
+
 void SlotClientCore::answered(const NodeId& from, const AcquireSlotReply& reply) {
   const auto found = asking_.find(reply.claim.token);
   if (found == asking_.end()) {
--- a/src/slots/slot_client_core.h
+++ b/src/slots/slot_client_core.h
@@ -83,6 +83,7 @@
   void beginLimit(std::uint64_t id);
   void ask(std::uint64_t id);
   void retryAt(std::uint64_t id, Duration pause);
+  void checkHeld(const NodeId& from, const HeldSlotsQuery& query);
   void answered(const NodeId& from, const AcquireSlotReply& reply);
   void granted(std::uint64_t id, const AcquireSlotReply& reply);
   void redirected(std::uint64_t id, const NodeId& from, const AcquireSlotReply& reply);
--- a/src/slots/slot_holder.cpp
+++ b/src/slots/slot_holder.cpp
@@ -230,6 +230,25 @@
   held.renewAt = std::min(held.renewAt, context_.now() + kHolderTick);
 }
 
+void SlotHolder::answerCheck(const NodeId& from, const std::vector<SlotClaim>& claims,
+                             const std::vector<SlotClaim>& unknown) {
+  RenewSlots renewal;
+  for (const SlotClaim& claim : claims) {
+    const auto held = held_.find(claim.token);
+    if (held != held_.end()) {
+      renewal.claims.push_back(held->second.claim);
+    }
+  }
+  if (!renewal.claims.empty()) {
+    renewal.round = ++lastRound_;
+    rounds_[lastRound_] = context_.now();
+    context_.send(from, renewal);
+  }
+  for (const SlotClaim& claim : unknown) {
+    context_.send(from, ReleaseSlot{claim.limiter, claim.key, claim.token});
+  }
+}
+
 // ---- Recovery
 
 bool SlotHolder::predatesRecovery(const PartitionId& partition, std::uint64_t epoch) const {
--- a/src/slots/slot_holder.h
+++ b/src/slots/slot_holder.h
@@ -52,6 +52,10 @@
   void released(const NodeId& from, const ReleaseSlotReply& reply);
   void recoveryNoticed(const NodeId& from, const RecoveryNotice& notice);
 
+  /// Answers an owner that asks for @p claims: renews those that are held, releases @p unknown.
+  void answerCheck(const NodeId& from, const std::vector<SlotClaim>& claims,
+                   const std::vector<SlotClaim>& unknown);
+
   /// True if a grant of @p epoch predates a recovery that this holder has already answered: the
   /// owner does not know of it.
   bool predatesRecovery(const PartitionId& partition, std::uint64_t epoch) const;
--- a/src/slots/slot_messages.h
+++ b/src/slots/slot_messages.h
@@ -138,6 +138,15 @@
   MSGPACK_DEFINE(partition, epoch);
 };
 
+/// Owner → holder: these slots have not been heard of for a while. The holder renews those that it
+/// holds and releases those that it does not know: a process that was killed left them.
+struct HeldSlotsQuery {
+  static constexpr ServiceId kService = ServiceId::SlotClient;
+  static constexpr std::uint16_t kKind = 5;
+  std::vector<SlotClaim> claims;
+  MSGPACK_DEFINE(claims);
+};
+
 /// Measured hold time of one pool.
 struct PoolHold {
   std::string limiter;
--- a/src/slots/slot_owner_core.cpp
+++ b/src/slots/slot_owner_core.cpp
@@ -66,6 +66,7 @@
   sizer_.update(now - lastUpdate_);
   lastUpdate_ = now;
   expireSlots();
+  checkHolders();
   forgetReleasedTokens();
   closeRecovered();
   sendRecoveryNotices();
@@ -119,6 +120,7 @@
   HeldNumber held;
   held.row = std::move(row).value();
   held.expiresAt = expiryOf(held.row.claim);
+  held.checkAt = context_.now() + kHolderCheckAge;
   held.acknowledged = true;
   SlotPool& pool = poolOf(owned, held.row.claim.pool());
   pool.put(*number, std::move(held));
@@ -277,6 +279,36 @@
   }
 }
 
+/// A number whose holder was killed would stay taken for its time to live, although the holder is
+/// back. Only the holder itself can say that it holds nothing: one that is silent may be frozen.
+void SlotOwnerCore::checkHolders() {
+  if (!options_.safeguards.askSilentHolders) {
+    return;
+  }
+  std::map<NodeId, HeldSlotsQuery> queries;
+  for (auto& partition : partitions_) {
+    if (!store_.owns(partition.first)) {
+      continue;
+    }
+    for (auto& pool : partition.second.pools) {
+      if (pool.second.name().limiter == kQuotaLimiter) {
+        continue;  // These numbers are not given back by anyone.
+      }
+      for (auto& held : pool.second.numbers()) {
+        HeldNumber& slot = held.second;
+        if (slot.acknowledged && slot.checkAt <= context_.now()) {
+          slot.checkAt = context_.now() + kHolderCheckRetry;
+          queries[slot.row.holder].claims.push_back(slot.row.claim);
+        }
+      }
+    }
+  }
+  for (const auto& [holder, query] : queries) {
+    context_.counters().add("slot_holders_asked_total");
+    context_.send(holder, query);
+  }
+}
+
 void SlotOwnerCore::forgetReleasedTokens() {
   for (auto it = releasedTokens_.begin(); it != releasedTokens_.end();) {
     it = it->second <= context_.now() ? releasedTokens_.erase(it) : std::next(it);
--- a/src/slots/slot_owner_core.h
+++ b/src/slots/slot_owner_core.h
@@ -29,6 +29,11 @@
 /// A released token is remembered this long, so that a delayed copy of its acquisition or renewal
 /// does not take a slot again.
 inline constexpr Duration kReleasedTokenMemory = std::chrono::seconds(30);
+/// The holder of a slot that was granted or renewed this long ago is asked whether it still holds
+/// it. Most calls are over by then.
+inline constexpr Duration kHolderCheckAge = std::chrono::seconds(2);
+/// A holder that does not answer is asked again after this time.
+inline constexpr Duration kHolderCheckRetry = std::chrono::seconds(1);
 /// Interval of the reports to the other stores.
 inline constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 /// A lending limit that was not repeated for this long counts as 0.
@@ -107,6 +112,8 @@
 
   void expireSlots();
   void expirePool(const PartitionId& partition, SlotPool& pool);
+  /// Asks the holders of slots that were not heard of for `kHolderCheckAge`.
+  void checkHolders();
   void forgetReleasedTokens();
   std::vector<NodeId> possibleHolders() const;
   void closeRecovered();
--- a/src/slots/slot_owner_requests.cpp
+++ b/src/slots/slot_owner_requests.cpp
@@ -99,6 +99,7 @@
     if (written != nullptr) {
       written->writeOutstanding = false;
       written->acknowledged = static_cast<bool>(status);
+      written->checkAt = context_.now() + kHolderCheckAge;
     }
     if (!status || written == nullptr) {
       refuse(from, request, SlotOutcome::NotOwner);
@@ -261,6 +262,7 @@
   }
   HeldNumber& held = *pool.find(*number);
   held.expiresAt = expiryOf(held.row.claim);
+  held.checkAt = context_.now() + kHolderCheckAge;
   if (!held.acknowledged) {
     rows.push_back(held.row);
   }
@@ -287,6 +289,7 @@
   held.row = {claim, from};
   held.row.claim.number = *number;
   held.expiresAt = expiryOf(claim);
+  held.checkAt = context_.now() + kHolderCheckAge;
   rows.push_back(held.row);
   pool.put(*number, std::move(held));
   context_.counters().add("slot_reassertions_total");
--- a/src/slots/slot_pool.h
+++ b/src/slots/slot_pool.h
@@ -41,6 +41,7 @@
 struct HeldNumber {
   SlotRow row;
   Time expiresAt;
+  Time checkAt;                    ///< When the holder is asked whether it still holds it.
   std::optional<Time> acquiredAt;  ///< Unknown if an earlier owner granted it.
   bool acknowledged = false;       ///< A majority has the row.
   bool writeOutstanding = false;
--- a/src/slots/slot_safeguards.h
+++ b/src/slots/slot_safeguards.h
@@ -23,6 +23,8 @@
   bool releaseBeforeRefusal = true;
   /// A grant of an older epoch than a recovery that this holder has answered is discarded.
   bool discardOldGrants = true;
+  /// The holder of a slot that was not heard of for a while is asked whether it holds it.
+  bool askSilentHolders = true;
 };
 
 }  // namespace shedshed
--- /dev/null
+++ b/tests/slots/holder_check_test.cpp
@@ -0,0 +1,92 @@
+// Owners ask the holders of slots that they have not heard of for a while.
+#include "slot_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shedshed;
+using namespace shedshed::test;
+
+namespace {
+
+/// Service is back this long after the machines are.
+constexpr Duration kRecoveryLimit = seconds(15);
+
+SlotLimit longLimit() {
+  SlotLimit limit = SlotFleet::limit("t");
+  limit.timeToLive = seconds(60);
+  return limit;
+}
+
+void restartFront(SlotFleet& fleet) {
+  fleet.harness.crash("f1:1");
+  fleet.fronts[0] = std::make_unique<Front>(fleet.harness, "f1:1", fleet.directory,
+                                            fleet.configuration, SlotSafeguards{});
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(numbers_of_a_killed_front_are_free_once_it_is_back) {
+  SlotFleet fleet;
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  restartFront(fleet);
+  fleet.harness.advance(kRecoveryLimit);
+  BOOST_TEST(fleet.acquire(1, {longLimit()}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(mutation_without_a_question_they_stay_taken) {
+  SlotSafeguards safeguards;
+  safeguards.askSilentHolders = false;
+  SlotFleet fleet(safeguards);
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  restartFront(fleet);
+  fleet.harness.advance(kRecoveryLimit);
+  BOOST_TEST(codeOf(fleet.acquire(1, {longLimit()})) == ErrorCode::PoolFull);
+}
+
+BOOST_AUTO_TEST_CASE(numbers_of_a_killed_front_are_free_at_a_new_owner_too) {
+  SlotFleet fleet;
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  restartFront(fleet);
+  fleet.takeOver(1, RecoveryKind::Complete);
+  fleet.harness.advance(kRecoveryLimit);
+  BOOST_TEST(fleet.acquire(1, {longLimit()}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_slot_in_use_stays_with_its_holder) {
+  SlotFleet fleet;
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  fleet.harness.advance(seconds(30));
+  BOOST_TEST(fleet.fronts[0]->core.heldSlots().size() == 2U);
+  BOOST_TEST(codeOf(fleet.acquire(1, {longLimit()})) == ErrorCode::PoolFull);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_holder_keeps_its_slot_for_its_time_to_live) {
+  SlotFleet fleet;
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  BOOST_REQUIRE(fleet.acquire(0, {longLimit()}).has_value());
+  fleet.cut("f1:1");
+  fleet.harness.advance(seconds(30));
+  BOOST_TEST(codeOf(fleet.acquire(1, {longLimit()})) == ErrorCode::PoolFull);
+}
+
+/// The question arrives before the grant: the token is still being asked for.
+BOOST_AUTO_TEST_CASE(a_grant_on_its_way_is_not_disowned) {
+  SlotFleet fleet;
+  const auto outcome = fleet.start(0, {longLimit()});
+  BOOST_REQUIRE(fleet.harness.queue.size() == 1U);
+  fleet.harness.deliverAt(0);
+  BOOST_REQUIRE(!fleet.harness.queue.empty());
+  const auto reply = decodeMessage<AcquireSlotReply>(fleet.harness.queue.back().message);
+  BOOST_REQUIRE(reply.has_value());
+  fleet.harness.queue.push_front(
+      {NodeId{"s1:1"}, NodeId{"f1:1"}, encodeMessage(HeldSlotsQuery{{reply.value().claim}})});
+  fleet.harness.settle();
+  BOOST_REQUIRE(outcome->has_value());
+  BOOST_TEST((*outcome)->has_value());
+  BOOST_TEST(fleet.fronts[0]->core.heldSlots().size() == 1U);
+  BOOST_TEST(fleet.rows() == 1U);
+}
--- a/tests/slots/slot_protocol_test.cpp
+++ b/tests/slots/slot_protocol_test.cpp
@@ -102,6 +102,7 @@
   for (const bool safe : {true, false}) {
     SlotSafeguards safeguards;
     safeguards.releaseLateGrants = safe;
+    safeguards.askSilentHolders = false;  // The owner's question would free it as well.
     SlotFleet fleet(safeguards);
     fleet.stores[0]->table.holdWrites = true;
     const Result<SlotGrant> refused = fleet.acquire(0, {SlotFleet::limit("t")});
