Lent room: calls without a tenant count as live, the only tenant takes all of it

Hypothesis: where the settings name no tenants, room is lent twice: the slots of live calls stand in the pool of the service, which the stores' reports left out, so that all of the engines' places were lent while live calls used a third of them; and the one tenant's items may take half of the lent room, as if there were others. Live calls then wait behind items, and items for each other.

Change: reports count live slots of services' pools; the share of a tenant is the whole where there is one tenant at most.

--- a/src/slots/slot_owner_core.cpp
+++ b/src/slots/slot_owner_core.cpp
@@ -170,7 +170,9 @@
   if (lent == 0) {
     return {0, static_cast<std::uint32_t>(std::ceil(size * kItemShareOfTenantPool))};
   }
-  return {size, static_cast<std::uint32_t>(std::ceil(lent * kItemShareOfLentRoom))};
+  // A tenant without competitors leaves nothing to others by taking less.
+  const double share = rates_.tenantPools().size() > 1 ? kItemShareOfLentRoom : 1.0;
+  return {size, static_cast<std::uint32_t>(std::ceil(lent * share))};
 }
 
 std::uint32_t SlotOwnerCore::poolSize(const PoolName& name) const {
@@ -348,7 +350,9 @@
   std::uint32_t count = 0;
   for (const auto& partition : partitions_) {
     for (const auto& pool : partition.second.pools) {
-      if (pool.second.name().limiter == kTenantLimiter) {
+      const std::string& limiter = pool.second.name().limiter;
+      const bool ofService = limiter == kServiceLimiter && serviceClass == SlotClass::Live;
+      if (limiter == kTenantLimiter || ofService) {
         count += pool.second.used(serviceClass);
       }
     }
