Small disks: sixteen files of a ring in place of four

Two files of a ring hold no live records, so four files waste half. A file stays above 4 MiB, the largest settings.

--- a/src/process/state_process.cpp
+++ b/src/process/state_process.cpp
@@ -14,8 +14,12 @@
 constexpr std::chrono::milliseconds kHandOverPoll{50};
 
 constexpr std::uint64_t kMegabyte = 1U << 20U;
-/// Files of a ring on a small disk, and the largest file.
-constexpr std::uint32_t kSmallDiskFiles = 4;
+/// Files of a ring on a small disk: two of them hold no live records, so many small ones waste
+/// less. A file holds the largest record, settings of 4 MiB, whole.
+constexpr std::uint64_t kSmallDiskFiles = 16;
+constexpr std::uint64_t kLeastFileOfSmallDisk = 5 * kMegabyte;
+/// Files of a disk that is too small even for that.
+constexpr std::uint64_t kTinyDiskFiles = 4;
 constexpr std::uint64_t kLargestFile = 16 * kMegabyte;
 /// Bounds what a restart reads.
 constexpr std::uint64_t kMostRingFiles = 12;
@@ -35,10 +39,11 @@
         static_cast<std::uint32_t>(std::min<std::uint64_t>(room / knobs.fileBytes, kMostRingFiles));
     return knobs;
   }
-  knobs.fileCount = kSmallDiskFiles;
+  std::uint64_t files = std::min(room / kLeastFileOfSmallDisk, kSmallDiskFiles);
+  files = std::max(files, kTinyDiskFiles);
+  knobs.fileCount = static_cast<std::uint32_t>(files);
   knobs.fileBytes =
-      std::clamp(room / kSmallDiskFiles / kMegabyte, std::uint64_t{1}, kLargestFile / kMegabyte) *
-      kMegabyte;
+      std::clamp(room / files / kMegabyte, std::uint64_t{1}, kLargestFile / kMegabyte) * kMegabyte;
   return knobs;
 }
 
--- a/tests/process/ring_size_test.cpp
+++ b/tests/process/ring_size_test.cpp
@@ -34,4 +34,21 @@
   BOOST_TEST(ringKnobsFor(1U << 20U).fileCount == 12U);
 }
 
+/// Two files hold no live records: with four files that is half of the ring. Stores with 110 MB
+/// refused batches at 25 MB of records.
+BOOST_AUTO_TEST_CASE(most_of_a_small_ring_holds_live_records) {
+  for (const std::uint32_t megabytes : {64U, 110U, 150U}) {
+    const RingKnobs knobs = ringKnobsFor(megabytes);
+    const std::uint64_t live = knobs.fileBytes * (knobs.fileCount - 2) * knobs.livePercent / 100;
+    BOOST_TEST(live >= megabytes * kMegabyte * 2 / 5);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_file_of_a_small_ring_holds_the_largest_settings) {
+  constexpr std::uint64_t kLargestSettings = 4 * kMegabyte;
+  for (const std::uint32_t megabytes : {32U, 64U, 110U, 150U}) {
+    BOOST_TEST(ringKnobsFor(megabytes).fileBytes > kLargestSettings);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
