--- a/src/engines/engine_list_core.cpp
+++ b/src/engines/engine_list_core.cpp
@@ -31,6 +31,7 @@
       table_(std::make_shared<const EngineTable>()) {}
 
 void EngineListCore::start() {
+  startedAt_ = context_.now();
   request_ = context_.random()() >> 1U;
   pull();
 }
@@ -46,37 +47,63 @@
 
 void EngineListCore::timerExpired(TimerId timer) {
   if (timer == kTimeoutTimer || neverProved()) {
-    ++reader_;
+    ++next_;
   }
   pull();
 }
 
-std::vector<NodeId> EngineListCore::readers() const {
-  const std::shared_ptr<const NodeTable> nodes = directory_.table();
-  std::vector<NodeId> readers = nodes->live(NodeRole::Register);
+std::vector<NodeId> EngineListCore::readers(const NodeTable& nodes) const {
+  std::vector<NodeId> readers = nodes.live(NodeRole::Register);
   std::stable_partition(readers.begin(), readers.end(), [&](const NodeId& id) {
-    return nodes->find(id)->state != NodeState::Draining;
+    return nodes.find(id)->state != NodeState::Draining;
   });
   return readers;
 }
 
+std::vector<NodeId> EngineListCore::sources() const {
+  const std::shared_ptr<const NodeTable> nodes = directory_.table();
+  const NodeInfo* self = nodes->find(context_.self());
+  const bool pullsFromRelays = self != nullptr && self->role == NodeRole::Data &&
+                               nodes->nodes.size() > options_.directPullers;
+  std::vector<NodeId> sources = readers(*nodes);
+  if (pullsFromRelays) {
+    const std::vector<NodeId> stores = nodes->live(NodeRole::Store);
+    sources.insert(sources.end(), stores.begin(), stores.end());
+    sources = rendezvousOrder(context_.self().address, std::move(sources));
+  }
+  return sources;
+}
+
+bool EngineListCore::mustRead() const {
+  if (source_ == nullptr) {
+    return false;
+  }
+  const std::vector<NodeId> nodes = readers(*directory_.table());
+  const bool isFirst = nodes.empty() || nodes.front() == context_.self();
+  const Time current = std::max(startedAt_, provedAt_);
+  return isFirst || context_.now() - current > options_.oldListing;
+}
+
 void EngineListCore::pull() {
   context_.stopTimer(kTimeoutTimer);
   context_.startTimer(kPullTimer,
                       neverProved() ? options_.firstPullInterval : options_.pullInterval);
-  const std::vector<NodeId> nodes = readers();
+  if (!waiting_.empty() && mustRead()) {
+    readSource();
+  }
+  const std::vector<NodeId> nodes = sources();
   if (nodes.empty()) {
     return;
   }
   if (++pulls_ % kPullsBetweenPreferences == 0) {
-    reader_ = 0;
+    next_ = 0;
   }
   openPulls_[++request_] = context_.now();
   if (openPulls_.size() > kMostOpenPulls) {
     openPulls_.erase(openPulls_.begin());
   }
   context_.startTimer(kTimeoutTimer, options_.pullTimeout);
-  context_.send(nodes[reader_ % nodes.size()], ListingPull{request_, digest_});
+  context_.send(nodes[next_ % nodes.size()], ListingPull{request_, digest_});
 }
 
 void EngineListCore::onAnswer(const ListingAnswer& answer) {
@@ -89,7 +116,7 @@
   context_.stopTimer(kTimeoutTimer);
   const Duration age = std::chrono::milliseconds(answer.ageMilliseconds);
   if (!answer.known || age > options_.oldListing) {
-    ++reader_;
+    ++next_;
   }
   if (answer.known) {
     adopt(answer, sentAt - age);
@@ -105,51 +132,62 @@
     return;  // Left out for a digest that this node does not hold any more.
   }
   provedAt_ = moment;
-  if (answer.digest == digest_) {
-    return;
+  if (answer.digest != digest_) {
+    digest_ = answer.digest;
+    auto next = std::make_shared<EngineTable>();
+    next->engines = answer.engines;
+    table_.publish(next);
+    context_.counters().add("engine_lists_adopted_total");
+    for (const auto& listener : listeners_) {
+      listener(*next);
+    }
   }
-  digest_ = answer.digest;
-  auto next = std::make_shared<EngineTable>();
-  next->engines = answer.engines;
-  table_.publish(next);
-  context_.counters().add("engine_lists_adopted_total");
-  for (const auto& listener : listeners_) {
-    listener(*next);
+  if (!reading_) {
+    answerWaiting();
   }
 }
 
 void EngineListCore::onPull(const NodeId& from, const ListingPull& pull) {
-  if (source_ == nullptr) {
-    context_.send(from, ListingAnswer{pull.request, false, 0, 0, {}});
-    return;
-  }
   const bool recent =
       copyReadAt_ != Time::min() && context_.now() - copyReadAt_ <= options_.refreshAge;
-  if (recent) {
+  const bool reads = !recent && mustRead();
+  if (recent || (!reads && !neverProved())) {
     answer(from, pull);
     return;
   }
   if (waiting_.size() < kMostWaiting) {
     waiting_.push_back({from, pull});
   }
-  readSource();
+  if (reads) {
+    readSource();
+  }
 }
 
 void EngineListCore::answer(const NodeId& to, const ListingPull& pull) {
+  const bool fromTable = provedAt_ > copyReadAt_;
+  const Time current = std::max(provedAt_, copyReadAt_);
   ListingAnswer answer;
   answer.request = pull.request;
-  answer.known = copyReadAt_ != Time::min();
+  answer.known = current != Time::min();
   if (answer.known) {
     answer.ageMilliseconds =
-        static_cast<std::uint64_t>(toMilliseconds(context_.now() - copyReadAt_)) + 1;
-    answer.digest = copyDigest_;
-    if (pull.digest != copyDigest_) {
-      answer.engines = copy_;
+        static_cast<std::uint64_t>(toMilliseconds(context_.now() - current)) + 1;
+    answer.digest = fromTable ? digest_ : copyDigest_;
+    if (pull.digest != answer.digest) {
+      answer.engines = fromTable ? table()->engines : copy_;
     }
   }
   context_.send(to, answer);
 }
 
+void EngineListCore::answerWaiting() {
+  const std::vector<Waiting> waiting = std::move(waiting_);
+  waiting_.clear();
+  for (const Waiting& asker : waiting) {
+    answer(asker.from, asker.pull);
+  }
+}
+
 void EngineListCore::readSource() {
   if (reading_) {
     return;
@@ -173,11 +211,7 @@
   } else {
     context_.counters().add("engine_list_read_failures_total");
   }
-  const std::vector<Waiting> waiting = std::move(waiting_);
-  waiting_.clear();
-  for (const Waiting& asker : waiting) {
-    answer(asker.from, asker.pull);
-  }
+  answerWaiting();
 }
 
 }  // namespace shedshed
--- a/src/engines/engine_list_core.h
+++ b/src/engines/engine_list_core.h
@@ -1,9 +1,11 @@
 /// @file
 /// Brings the platform's listing of engines to all nodes, through one reader.
 ///
-/// Every node pulls the listing from the first live control node in the agreed order (by id). That
-/// node reads the source while it is asked, so there is one reader at a time without an election:
-/// if it falls silent, or its copy is old, the nodes ask the next one, which then reads.
+/// Register nodes can read the source. The first live one in the agreed order (by id) reads it while
+/// it is asked, so there is one reader at a time without an election; another one reads only when
+/// its own copy grows old. Nodes pull the listing from the reader; in a large fleet data nodes pull
+/// it from the other control nodes, which relay their copies, each data node from one chosen by
+/// rendezvous. A node whose source is silent, or has an old copy, asks the next one.
 ///
 /// A pull proves that its answer's listing was current at the moment at which the pull was sent,
 /// less the age that the answerer gives: no clocks of two nodes are compared. So each node knows
@@ -33,6 +35,7 @@
   Duration refreshAge = std::chrono::milliseconds(450);
   /// An answer older than this lets a node ask the next one.
   Duration oldListing = std::chrono::milliseconds(1200);
+  std::size_t directPullers = 64;  ///< With more live nodes, data nodes pull from relays.
 };
 
 /// Asks a control node for the listing.
@@ -59,8 +62,7 @@
 /// The engine list of one node.
 class EngineListCore : public Core, public EngineSource {
  public:
-  /// @p source is null on nodes that never read it; else this node answers pulls. All references
-  /// must outlive the core.
+  /// @p source is null on nodes that never read it. All references must outlive the core.
   EngineListCore(CoreContext& context, Directory& directory, ListingSource* source,
                  EngineListOptions options = {});
 
@@ -85,19 +87,26 @@
   void adopt(const ListingAnswer& answer, Time moment);
   void onAnswer(const ListingAnswer& answer);
   void onPull(const NodeId& from, const ListingPull& pull);
+  /// Answers with the newer one of the copy that was read and the table that was pulled.
   void answer(const NodeId& to, const ListingPull& pull);
+  void answerWaiting();
   void readSource();
   void sourceRead(Time begun, Result<std::vector<EngineInfo>> engines);
-  std::vector<NodeId> readers() const;
+  /// True if no other node reads for this one.
+  bool mustRead() const;
+  std::vector<NodeId> readers(const NodeTable& nodes) const;
+  /// The nodes to pull from, in the order in which they are tried.
+  std::vector<NodeId> sources() const;
 
   CoreContext& context_;
   Directory& directory_;
   ListingSource* source_;
   const EngineListOptions options_;
   // The asking side.
+  Time startedAt_{};
   std::uint64_t request_ = 0;
   std::map<std::uint64_t, Time> openPulls_;  ///< When each of the last ones was sent.
-  std::size_t reader_ = 0;                   ///< Index of the node to ask, in the agreed order.
+  std::size_t next_ = 0;                     ///< Index of the node to ask among `sources`.
   std::uint32_t pulls_ = 0;
   Time provedAt_ = Time::min();
   std::uint64_t digest_ = 0;
--- a/src/membership/directory_core.cpp
+++ b/src/membership/directory_core.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr TimerId kTickTimer = 1;
+constexpr TimerId kForwardTimer = 2;
 
 /// Dead nodes that are told so at each probe; bounds the traffic after the loss of a zone.
 constexpr std::size_t kDoubtsPerProbe = 4;
@@ -46,8 +47,10 @@
                     const std::string& bytes) { recordChanged(origin, version, topic, bytes); }),
       exchange_(
           context, store_, options, [this] { return hiddenOrigins(); },
+          [this] { return peers(false); },
           [this](const GossipVersion& seen) { checkOwnRecord(seen); }),
       monitor_(options), liveness_(options), table_(std::make_shared<const NodeTable>()) {
+  exchange_.setForwardTimer(kForwardTimer);
   self_.state = NodeState::Alive;
   self_.incarnation = composeIncarnation(1, runTag_);
   seeds_.erase(std::remove(seeds_.begin(), seeds_.end(), self_.id), seeds_.end());
@@ -59,7 +62,7 @@
 }
 
 void DirectoryCore::start() {
-  exchange_.pushOwn(0, seeds_);
+  exchange_.spreadOwn(0, seeds_);
   exchange_.compareWith(seeds_);
   const auto interval = static_cast<std::uint64_t>(options_.pingInterval.count());
   context_.startTimer(kTickTimer, Duration(1 + context_.random()() % interval));
@@ -84,7 +87,7 @@
 void DirectoryCore::publish(const std::string& topic, const std::string& bytes) {
   const std::uint32_t before = store_.version(self_.id).sequence;
   store_.publish(self_.id, topic, bytes);
-  exchange_.pushOwn(before, peers(false));
+  exchange_.spreadOwn(before, peers(false));
 }
 
 void DirectoryCore::subscribe(const std::string& topic, Listener listener) {
@@ -107,6 +110,8 @@
     context_.startTimer(kTickTimer, options_.pingInterval);
     tick();
     refreshTable();
+  } else if (timer == kForwardTimer) {
+    exchange_.forwardPending();
   }
 }
 
@@ -150,7 +155,7 @@
   std::vector<NodeId> everyone = peers(false);
   const std::vector<NodeId> dead = peers(true);
   everyone.insert(everyone.end(), dead.begin(), dead.end());
-  exchange_.pushOwn(0, everyone.empty() ? seeds_ : everyone);
+  exchange_.spreadOwn(0, everyone.empty() ? seeds_ : everyone);
   context_.logStateChange("directory: own incarnation raised");
 }
 
@@ -280,14 +285,7 @@
 }
 
 std::set<NodeId> DirectoryCore::hiddenOrigins() const {
-  std::set<NodeId> hidden;
-  for (const auto& node : nodes_) {
-    const Time* since = liveness_.deadSince(node.first);
-    if (since != nullptr && context_.now() - *since >= options_.forgetAfter / kOfferedPart) {
-      hidden.insert(node.first);
-    }
-  }
-  return hidden;
+  return liveness_.deadBefore(context_.now() - options_.forgetAfter / kOfferedPart);
 }
 
 std::uint64_t DirectoryCore::doubtAbout(const NodeId& node) const {
--- a/src/membership/directory_core.h
+++ b/src/membership/directory_core.h
@@ -1,15 +1,12 @@
 /// @file
 /// The directory: who is in the fleet, who lives, and the gossip that carries it.
 ///
-/// Dissemination. A node sends each of its changes once, directly to every live node; what is lost
-/// is pulled: once an interval a node sends a hash of its version vector to one random live node,
-/// and only when the hashes differ do the two exchange vectors and the missing records. Direct
-/// sending costs each node one copy of each change and no duplicates.
+/// Dissemination: see `GossipExchange`. Each interval a node compares the hash of its version vector
+/// with one random live node.
 ///
 /// Computed traffic at 390 nodes, payload bytes per node: pings 2 x 3 x ~12 B/s and hashes
-/// 2 x ~12 B/s: ~100 B/s; a vector is 390 x ~32 B = ~12.5 KB, held to `vectorBytesPerSecond`
-/// (2 KB/s) in the mean; a node's own change of ~150 B costs its origin 389 x 150 B = ~58 KB once,
-/// and every other node 150 B.
+/// 2 x ~12 B/s: ~100 B/s; a difference costs 64 hashes of 8 B and the entries of the buckets that
+/// differ, ~6 x 32 B each; a change of ~150 B is received and passed on four times: ~1.2 KB.
 #pragma once
 
 #include "kernel/core.h"
--- a/src/membership/directory_options.h
+++ b/src/membership/directory_options.h
@@ -21,9 +21,13 @@
   std::uint32_t watchersPerNode = 3;                ///< Live nodes that ping each node.
   std::uint32_t deadProbeTicks = 5;  ///< Dead nodes and seeds are tried every so many intervals.
   Duration forgetAfter = std::chrono::hours(1);  ///< A dead node's record is kept this long.
-  double vectorBytesPerSecond = 2048;            ///< Mean rate of version vectors sent.
-  double vectorBurstBytes = 32768;               ///< Allowance that can be saved up.
   std::size_t batchBytes = 32768;                ///< Soft bound of one message of deltas.
+  /// A change goes from its origin to this many nodes at most; with more peers, those that it
+  /// reaches pass it on.
+  std::size_t directTargets = 24;
+  std::size_t forwardTargets = 4;  ///< Nodes to which a change is passed on.
+  /// Changes that arrive within this time of each other are passed on together.
+  Duration forwardPause = std::chrono::milliseconds(20);
   DirectorySafeguards safeguards;
 };
 
--- a/src/membership/gossip_exchange.cpp
+++ b/src/membership/gossip_exchange.cpp
@@ -9,22 +9,33 @@
 
 namespace {
 
-/// Estimated encoded size of an element of a version vector beside the node's address, bytes.
-constexpr std::size_t kVectorEntryBytes = 17;
+/// Moves @p count random elements to the front and drops the rest.
+void keepRandom(std::vector<NodeId>& nodes, std::size_t count, RandomEngine& random) {
+  if (nodes.size() <= count) {
+    return;
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(nodes[i], nodes[i + random() % (nodes.size() - i)]);
+  }
+  nodes.resize(count);
+}
 
 }  // namespace
 
 GossipExchange::GossipExchange(CoreContext& context, GossipStore& store,
                                const DirectoryOptions& options,
                                std::function<std::set<NodeId>()> hidden,
+                               std::function<std::vector<NodeId>()> livePeers,
                                std::function<void(const GossipVersion&)> ownRecordSeen)
     : context_(context), store_(store), options_(options), self_(context.self()),
-      hidden_(std::move(hidden)), ownRecordSeen_(std::move(ownRecordSeen)),
-      vectorAllowance_(options.vectorBurstBytes) {}
+      hidden_(std::move(hidden)), livePeers_(std::move(livePeers)),
+      ownRecordSeen_(std::move(ownRecordSeen)) {}
 
 bool GossipExchange::receive(const NodeId& from, const Message& message) {
   return dispatchMessage<CompareRequest>(
              message, [&](const CompareRequest& request) { onCompare(from, request); }) ||
+         dispatchMessage<BucketHashes>(
+             message, [&](const BucketHashes& hashes) { onBucketHashes(from, hashes); }) ||
          dispatchMessage<VectorReply>(message,
                                       [&](const VectorReply& reply) { onVector(from, reply); }) ||
          dispatchMessage<DeltaBatch>(message,
@@ -49,17 +60,30 @@
   if (request.vectorHash == vectorHash()) {
     return;
   }
-  VectorReply reply{store_.vector(hidden_())};
-  std::size_t bytes = 0;
-  for (const VectorEntry& entry : reply.entries) {
-    bytes += entry.origin.address.size() + kVectorEntryBytes;
+  context_.counters().add("directory_differences_found_total");
+  // A short vector costs no more than the hashes of its buckets.
+  if (store_.originCount() > kVectorBuckets) {
+    context_.send(from, BucketHashes{store_.bucketHashes(hidden_())});
+  } else {
+    context_.send(from, VectorReply{store_.vector(hidden_())});
   }
-  if (!mayAffordVector(bytes)) {
-    context_.counters().add("directory_vectors_withheld_total");
+}
+
+void GossipExchange::onBucketHashes(const NodeId& from, const BucketHashes& theirs) {
+  const std::vector<std::uint64_t> own = store_.bucketHashes(hidden_());
+  if (theirs.hashes.size() != own.size()) {
+    context_.counters().add("directory_refused_messages_total");
     return;
   }
-  context_.counters().add("directory_vectors_sent_total");
-  context_.send(from, reply);
+  std::uint64_t differing = 0;
+  for (std::size_t bucket = 0; bucket < own.size(); ++bucket) {
+    if (own[bucket] != theirs.hashes[bucket]) {
+      differing |= std::uint64_t{1} << bucket;
+    }
+  }
+  if (differing != 0) {
+    context_.send(from, VectorReply{store_.vector(hidden_(), differing), differing});
+  }
 }
 
 void GossipExchange::onVector(const NodeId& from, const VectorReply& reply) {
@@ -74,7 +98,7 @@
     }
   }
   std::vector<GossipDelta> missing;
-  for (const VectorEntry& mine : store_.vector(hidden_())) {
+  for (const VectorEntry& mine : store_.vector(hidden_(), reply.buckets)) {
     if (theirs[mine.origin] < mine.version) {
       missing.push_back(store_.deltaSince(mine.origin, theirs[mine.origin]));
     }
@@ -108,18 +132,17 @@
   newcomers_.clear();
   DeltaRequest gaps;
   for (const GossipDelta& delta : batch.deltas) {
-    if (!applyDelta(from, delta)) {
+    if (!applyDelta(from, delta, batch.spreads)) {
       gaps.since.push_back({delta.origin, store_.version(delta.origin)});
     }
   }
   if (!gaps.since.empty()) {
     context_.send(from, gaps);
   }
-  // A node that another one told us of may not know us yet.
-  pushOwn(0, newcomers_);
+  introduceTo(newcomers_);
 }
 
-bool GossipExchange::applyDelta(const NodeId& from, const GossipDelta& delta) {
+bool GossipExchange::applyDelta(const NodeId& from, const GossipDelta& delta, bool spreads) {
   const GossipVersion version{delta.incarnation, delta.toSequence};
   if (delta.origin == self_) {
     ownRecordSeen_(version);
@@ -136,15 +159,54 @@
   if (!known && delta.origin != from) {
     newcomers_.push_back(delta.origin);
   }
+  if (spreads) {
+    passOn(delta);
+  }
   return true;
 }
 
-void GossipExchange::pushOwn(std::uint32_t sinceSequence, const std::vector<NodeId>& targets) {
+/// A node that another one told of may not know this one yet. In a large fleet it learns this one
+/// by the comparison with the node that told of it.
+void GossipExchange::introduceTo(const std::vector<NodeId>& newcomers) {
+  if (!isLargeFleet()) {
+    spreadOwn(0, newcomers);
+  }
+}
+
+void GossipExchange::passOn(const GossipDelta& delta) {
+  if (!isLargeFleet()) {
+    return;  // Its origin sent it to all.
+  }
+  pending_.push_back(delta);
+  if (!forwardTimerRuns_) {
+    forwardTimerRuns_ = true;
+    context_.startTimer(forwardTimer_, Duration(1));
+  }
+}
+
+void GossipExchange::forwardPending() {
+  forwardTimerRuns_ = !pending_.empty();
+  if (pending_.empty()) {
+    return;
+  }
+  // The next changes wait for the pause, so that many of them share a message.
+  context_.startTimer(forwardTimer_, options_.forwardPause);
+  std::vector<NodeId> targets = livePeers_();
+  keepRandom(targets, options_.forwardTargets, context_.random());
+  const Message message = encodeMessage(DeltaBatch{std::move(pending_), true});
+  pending_.clear();
+  for (const NodeId& target : targets) {
+    context_.send(target, message);
+  }
+}
+
+void GossipExchange::spreadOwn(std::uint32_t sinceSequence, std::vector<NodeId> targets) {
   if (targets.empty()) {
     return;
   }
+  keepRandom(targets, options_.directTargets, context_.random());
   const GossipVersion since{store_.version(self_).incarnation, sinceSequence};
-  const Message message = encodeMessage(DeltaBatch{{store_.deltaSince(self_, since)}});
+  const Message message = encodeMessage(DeltaBatch{{store_.deltaSince(self_, since)}, true});
   for (const NodeId& target : targets) {
     context_.send(target, message);
   }
@@ -169,20 +231,8 @@
   }
 }
 
-bool GossipExchange::mayAffordVector(std::size_t bytes) {
-  const std::chrono::duration<double> passed = context_.now() - allowanceAt_;
-  allowanceAt_ = context_.now();
-  vectorAllowance_ = std::min(options_.vectorBurstBytes,
-                              vectorAllowance_ + passed.count() * options_.vectorBytesPerSecond);
-  if (vectorAllowance_ <= 0) {
-    return false;
-  }
-  vectorAllowance_ -= static_cast<double>(bytes);
-  return true;
-}
-
 std::uint64_t GossipExchange::vectorHash() const {
-  return hash64(encodeRecord(store_.vector(hidden_())));
+  return hash64(encodeRecord(store_.bucketHashes(hidden_())));
 }
 
 }  // namespace shedshed
--- a/src/membership/gossip_store.cpp
+++ b/src/membership/gossip_store.cpp
@@ -1,19 +1,47 @@
 #include "membership/gossip_store.h"
 
+#include "kernel/rendezvous.h"
+
 #include <algorithm>
 
 namespace shedshed {
 
+namespace {
+
+std::size_t bucketOf(std::uint64_t addressHash) {
+  return addressHash % kVectorBuckets;
+}
+
+bool isInBuckets(std::uint64_t addressHash, std::uint64_t buckets) {
+  return (buckets >> bucketOf(addressHash) & 1U) != 0;
+}
+
+/// Mixes both numbers, so that a sum of such hashes differs when one of its terms does.
+std::uint64_t hashOfEntry(std::uint64_t addressHash, const GossipVersion& version) {
+  const std::uint64_t parts[] = {addressHash, version.incarnation, version.sequence};
+  return hash64({reinterpret_cast<const char*>(parts), sizeof(parts)});
+}
+
+}  // namespace
+
+GossipStore::Origin& GossipStore::originOf(const NodeId& id) {
+  const auto [found, isNew] = origins_.try_emplace(id);
+  if (isNew) {
+    found->second.addressHash = hash64(id.address);
+  }
+  return found->second;
+}
+
 void GossipStore::publish(const NodeId& origin, const std::string& topic,
                           const std::string& bytes) {
-  Origin& held = origins_[origin];
+  Origin& held = originOf(origin);
   ++held.version.sequence;
   held.records[topic] = Record{held.version.sequence, bytes};
   changed_(origin, held.version, topic, bytes);
 }
 
 void GossipStore::raiseIncarnation(const NodeId& origin, std::uint64_t incarnation) {
-  Origin& held = origins_[origin];
+  Origin& held = originOf(origin);
   held.version = GossipVersion{incarnation, 0};
   for (auto& record : held.records) {
     record.second.sequence = ++held.version.sequence;
@@ -32,7 +60,7 @@
   if (!complete && !continues) {
     return Outcome::Gap;
   }
-  Origin& held = origins_[delta.origin];
+  Origin& held = originOf(delta.origin);
   held.version = upTo;
   if (known.incarnation != delta.incarnation) {
     dropUnlisted(delta.origin, held, delta);
@@ -83,17 +111,28 @@
   return found == origins_.end() ? GossipVersion{} : found->second.version;
 }
 
-std::vector<VectorEntry> GossipStore::vector(const std::set<NodeId>& hidden) const {
+std::vector<VectorEntry> GossipStore::vector(const std::set<NodeId>& hidden,
+                                             std::uint64_t buckets) const {
   std::vector<VectorEntry> entries;
-  entries.reserve(origins_.size());
   for (const auto& origin : origins_) {
-    if (hidden.count(origin.first) == 0) {
+    if (isInBuckets(origin.second.addressHash, buckets) && hidden.count(origin.first) == 0) {
       entries.push_back({origin.first, origin.second.version});
     }
   }
   return entries;
 }
 
+std::vector<std::uint64_t> GossipStore::bucketHashes(const std::set<NodeId>& hidden) const {
+  std::vector<std::uint64_t> hashes(kVectorBuckets);
+  for (const auto& origin : origins_) {
+    if (hidden.count(origin.first) == 0) {
+      const std::uint64_t addressHash = origin.second.addressHash;
+      hashes[bucketOf(addressHash)] += hashOfEntry(addressHash, origin.second.version);
+    }
+  }
+  return hashes;
+}
+
 void GossipStore::forEach(const std::string& topic,
                           const std::function<void(const NodeId&, const GossipVersion&,
                                                    const std::string&)>& visit) const {
--- a/src/membership/gossip_store.h
+++ b/src/membership/gossip_store.h
@@ -46,8 +46,16 @@
   /// The version held; zero if the origin is unknown.
   GossipVersion version(const NodeId& origin) const;
 
-  /// Returns the version vector without the origins in @p hidden, sorted by origin.
-  std::vector<VectorEntry> vector(const std::set<NodeId>& hidden) const;
+  /// Returns the version vector without the origins in @p hidden, sorted by origin; of @p buckets
+  /// only.
+  std::vector<VectorEntry> vector(const std::set<NodeId>& hidden,
+                                  std::uint64_t buckets = kAllBuckets) const;
+
+  /// Returns a hash of each bucket of the version vector without the origins in @p hidden. Equal
+  /// parts have equal hashes, whatever the order in which they came.
+  std::vector<std::uint64_t> bucketHashes(const std::set<NodeId>& hidden) const;
+
+  std::size_t originCount() const { return origins_.size(); }
 
   /// Drops an origin.
   void erase(const NodeId& origin) { origins_.erase(origin); }
@@ -64,8 +72,10 @@
   };
   struct Origin {
     GossipVersion version;
+    std::uint64_t addressHash = 0;
     std::map<std::string, Record> records;
   };
+  Origin& originOf(const NodeId& id);
   void dropUnlisted(const NodeId& origin, Origin& held, const GossipDelta& delta);
 
   ChangeHandler changed_;
--- a/src/membership/liveness.cpp
+++ b/src/membership/liveness.cpp
@@ -96,6 +96,16 @@
   return verdict == dead_.end() ? nullptr : &verdict->second.since;
 }
 
+std::set<NodeId> Liveness::deadBefore(Time moment) const {
+  std::set<NodeId> dead;
+  for (const auto& verdict : dead_) {
+    if (verdict.second.since <= moment) {
+      dead.insert(verdict.first);
+    }
+  }
+  return dead;
+}
+
 void Liveness::erase(const NodeId& node) {
   withdraw(node);
   dead_.erase(node);
--- a/src/membership/liveness.h
+++ b/src/membership/liveness.h
@@ -8,6 +8,7 @@
 #include "membership/membership_messages.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace shedshed {
@@ -27,6 +28,9 @@
   /// Time since which @p node is dead; nullptr if it is not.
   const Time* deadSince(const NodeId& node) const;
 
+  /// The nodes that are dead since @p moment or an earlier one.
+  std::set<NodeId> deadBefore(Time moment) const;
+
   /// Drops a node that is forgotten.
   void erase(const NodeId& node);
 
--- a/src/membership/membership_messages.h
+++ b/src/membership/membership_messages.h
@@ -5,12 +5,17 @@
 #include "kernel/message.h"
 #include "membership/gossip_topics.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace shedshed {
 
+/// A version vector is compared in this many parts; an origin's part follows from its hash.
+inline constexpr std::size_t kVectorBuckets = 64;
+inline constexpr std::uint64_t kAllBuckets = ~std::uint64_t{0};
+
 /// One published value.
 struct GossipRecord {
   std::string topic;
@@ -44,20 +49,23 @@
   MSGPACK_DEFINE(vectorHash);
 };
 
-/// The sender's version vector; sent only when the hashes differ.
+/// The sender's version vector, or the part of it that lies in some buckets; sent only when the
+/// hashes differ.
 struct VectorReply {
   static constexpr ServiceId kService = ServiceId::Directory;
   static constexpr std::uint16_t kKind = 2;
   std::vector<VectorEntry> entries;
-  MSGPACK_DEFINE(entries);
+  std::uint64_t buckets = kAllBuckets;  ///< One bit per bucket that `entries` covers.
+  MSGPACK_DEFINE(entries, buckets);
 };
 
-/// New records, pushed by their origin or pulled from a peer.
+/// New records, pushed or pulled.
 struct DeltaBatch {
   static constexpr ServiceId kService = ServiceId::Directory;
   static constexpr std::uint16_t kKind = 3;
   std::vector<GossipDelta> deltas;
-  MSGPACK_DEFINE(deltas);
+  bool spreads = false;  ///< In a large fleet the receiver passes on what is new to it.
+  MSGPACK_DEFINE(deltas, spreads);
 };
 
 /// Asks for the records of the named origins that are newer than the given versions.
@@ -86,6 +94,15 @@
   MSGPACK_DEFINE(number, doubtedIncarnation);
 };
 
+/// Answers a `CompareRequest` in a large fleet: the hash of each bucket of the sender's version
+/// vector, so that the receiver can send just the parts that differ.
+struct BucketHashes {
+  static constexpr ServiceId kService = ServiceId::Directory;
+  static constexpr std::uint16_t kKind = 7;
+  std::vector<std::uint64_t> hashes;
+  MSGPACK_DEFINE(hashes);
+};
+
 /// One watcher's claim that it misses a node.
 struct Suspicion {
   NodeId target;
--- a/src/register/self_admission.cpp
+++ b/src/register/self_admission.cpp
@@ -17,14 +17,25 @@
                                      SelfAdmissionOptions options)
     : context_(context), registers_(registers), directory_(directory), kind_(kind),
       storeId_(std::move(storeId)), holdsAllData_(std::move(holdsAllData)),
-      placesToTake_(std::move(placesToTake)), leaving_(std::move(leaving)), options_(options) {}
+      placesToTake_(std::move(placesToTake)), leaving_(std::move(leaving)), options_(options),
+      sightings_(context) {}
 
 void SelfAdmissionCore::start() {
   startedAt_ = context_.now();
   context_.startTimer(kCheckTimer, options_.check);
 }
 
-void SelfAdmissionCore::receive(const NodeId&, const Message&) {}
+void SelfAdmissionCore::receive(const NodeId& from, const Message& message) {
+  dispatchMessage<SightingRequest>(
+      message, [&](const SightingRequest& request) { answerSighting(from, request); }) ||
+      dispatchMessage<SightingAnswer>(
+          message, [&](const SightingAnswer& answer) { sightings_.answered(from, answer); });
+}
+
+void SelfAdmissionCore::answerSighting(const NodeId& from, const SightingRequest& request) {
+  const bool live = seesLive({request.member, request.storeId});
+  context_.send(from, SightingAnswer{request.requestId, live});
+}
 
 void SelfAdmissionCore::timerExpired(TimerId) {
   context_.startTimer(kCheckTimer, options_.check);
@@ -92,24 +103,52 @@
   return false;
 }
 
-NodeId SelfAdmissionCore::placeToTake(const NodeTable& nodes) const {
+SelfAdmissionCore::Place SelfAdmissionCore::placeToTake(const NodeTable& nodes) const {
   if (isListed(context_.self())) {
-    return context_.self();
+    return {context_.self(), false};
   }
   for (const NodeId& place : placesToTake_()) {
     if (isListed(place)) {
-      return place;
+      return {place, false};
     }
   }
   const bool firstSpare = isFirstSpare(nodes);
   for (const MemberList::Member& member : members()) {
     if (isLost(member) || (firstSpare && hasLeft(member))) {
-      return member.id;
+      return {member.id, true};
     }
   }
   return {};
 }
 
+bool SelfAdmissionCore::seesLive(const MemberList::Member& member) const {
+  if (member.id == context_.self()) {
+    return member.storeId == storeId_;
+  }
+  const std::shared_ptr<const NodeTable> nodes = directory_.table();
+  const NodeInfo* node = nodes->find(member.id);
+  return node != nullptr && node->state != NodeState::Dead;
+}
+
+// The verdict is looked at a check after the question, so that the member itself has time to answer.
+bool SelfAdmissionCore::isMissedByOthers(const NodeId& id) {
+  const auto member = std::find_if(members().begin(), members().end(),
+                                   [&](const auto& candidate) { return candidate.id == id; });
+  switch (sightings_.verdict(*member)) {
+  case MemberSightings::Verdict::Missed:
+    return true;
+  case MemberSightings::Verdict::Live:
+    context_.counters().add("members_missed_wrongly_total");
+    silences_[id].since = context_.now();
+    sightings_.reset();
+    return false;
+  case MemberSightings::Verdict::Open:
+    sightings_.ask(*member, registers_.knownMembers().list.acceptors);
+    break;
+  }
+  return false;
+}
+
 void SelfAdmissionCore::check() {
   const bool isMember =
       std::any_of(members().begin(), members().end(), [this](const MemberList::Member& member) {
@@ -120,14 +159,21 @@
   }
   const std::shared_ptr<const NodeTable> nodes = directory_.table();
   watchMembers(*nodes);
-  const NodeId place = placeToTake(*nodes);
-  if (place.empty() || !holdsAllData_()) {
+  const Place place = placeToTake(*nodes);
+  if (place.member.empty() || !holdsAllData_()) {
     return;
   }
+  if (!place.presumedLost || isMissedByOthers(place.member)) {
+    askFor(place.member);
+  }
+}
+
+void SelfAdmissionCore::askFor(const NodeId& place) {
   asking_ = true;
   context_.logStateChange("asking for the place of " + place.address);
   registers_.replaceMember(place, context_.self(), [this](const Result<MemberList>& list) {
     asking_ = false;
+    sightings_.reset();
     context_.counters().add(list ? "members_admitted_total" : "member_admission_failures_total");
     context_.logStateChange(list ? "admitted as a member" : "not admitted: " + list.error().detail);
   });
--- a/src/register/self_admission.h
+++ b/src/register/self_admission.h
@@ -4,6 +4,7 @@
 
 #include "kernel/core.h"
 #include "membership/directory.h"
+#include "register/member_sightings.h"
 #include "register/register_core.h"
 
 #include <functional>
@@ -33,6 +34,9 @@
 ///   several machines that stand by, the first in the order of ids takes the place;
 /// - that of a retiring member whose successor it is.
 ///
+/// What this machine misses, others may see: before it asks for the place of a member that it takes
+/// for lost or stopped, a majority of the acceptors must miss that member too, and nobody may see it.
+///
 /// Safety does not rest on these guesses: a change of the members needs majorities of the old and
 /// of the new list, and a store asks only once it holds all data.
 class SelfAdmissionCore : public Core {
@@ -63,9 +67,19 @@
   bool isLeaving(const NodeId& id) const;
   /// True if this node is the first of the live machines of its kind that are no members.
   bool isFirstSpare(const NodeTable& nodes) const;
-  /// The member whose place this machine should take; empty if none.
-  NodeId placeToTake(const NodeTable& nodes) const;
+  struct Place {
+    NodeId member;              ///< Empty if there is none to take.
+    bool presumedLost = false;  ///< It counts only if the acceptors miss the member as well.
+  };
+  /// The member whose place this machine should take.
+  Place placeToTake(const NodeTable& nodes) const;
+  /// True once a majority of the acceptors misses @p id; asks them otherwise.
+  bool isMissedByOthers(const NodeId& id);
+  /// True if this machine is @p member, or holds it live.
+  bool seesLive(const MemberList::Member& member) const;
+  void answerSighting(const NodeId& from, const SightingRequest& request);
   void check();
+  void askFor(const NodeId& place);
 
   CoreContext& context_;
   RegisterCore& registers_;
@@ -85,6 +99,7 @@
     Time since{};
   };
   std::map<NodeId, Silence> silences_;
+  MemberSightings sightings_;
   bool asking_ = false;
 };
 
--- /dev/null
+++ b/tests/membership/large_fleet_test.cpp
@@ -0,0 +1,133 @@
+/// The directory at the size of hundreds of nodes: forming, joining, spreading a change.
+#include "membership/test_fleet.h"
+
+using namespace shedshed;
+using namespace shedshed::test;
+
+namespace {
+
+constexpr int kLarge = 300;
+/// A record of a node with its addresses takes about this much.
+constexpr std::size_t kRecordBytes = 250;
+
+/// Counts what passes between nodes.
+struct Traffic {
+  explicit Traffic(TestFleet& fleet) {
+    fleet.harness.filter = [this](const Harness::Envelope& envelope) {
+      ++messages;
+      bytes += envelope.message.payload.size();
+      bytesFrom[envelope.from] += envelope.message.payload.size();
+      receivers[envelope.from].insert(envelope.to);
+      return true;
+    };
+  }
+  std::size_t mostReceivers() const {
+    std::size_t most = 0;
+    for (const auto& from : receivers) {
+      most = std::max(most, from.second.size());
+    }
+    return most;
+  }
+
+  std::size_t messages = 0;
+  std::size_t bytes = 0;
+  std::map<NodeId, std::size_t> bytesFrom;
+  std::map<NodeId, std::set<NodeId>> receivers;
+};
+
+void startAll(TestFleet& fleet, int nodes) {
+  for (int i = 0; i < nodes; ++i) {
+    fleet.start(i);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(nodes_that_start_together_know_each_other_within_three_seconds) {
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(3);
+  BOOST_TEST(fleet.countAlivePairs() == kLarge * (kLarge - 1));
+}
+
+// Seeds withheld their version vectors when many newcomers asked at once: most of the fleet knew
+// only itself for many seconds.
+BOOST_AUTO_TEST_CASE(nodes_meet_though_most_of_the_first_messages_are_lost) {
+  TestFleet fleet;
+  const Time lossEnds = fleet.harness.now + std::chrono::seconds(1);
+  fleet.harness.filter = [&](const Harness::Envelope&) {
+    return fleet.harness.now >= lossEnds || fleet.harness.random() % 10 == 0;
+  };
+  startAll(fleet, kLarge);
+  fleet.advance(1);
+  fleet.advance(5);
+  BOOST_TEST(fleet.countAlivePairs() == kLarge * (kLarge - 1));
+}
+
+BOOST_AUTO_TEST_CASE(sixty_newcomers_at_once_know_a_large_fleet_within_two_seconds) {
+  constexpr int kNewcomers = 60;
+  constexpr int kAll = kLarge + kNewcomers;
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(10);
+  for (int i = kLarge; i < kAll; ++i) {
+    fleet.start(i);
+  }
+  fleet.advance(2);
+  BOOST_TEST(fleet.countAlivePairs() == kAll * (kAll - 1));
+}
+
+BOOST_AUTO_TEST_CASE(forming_costs_each_node_a_few_copies_of_the_directory) {
+  constexpr std::size_t kCopies = 12;
+  TestFleet fleet;
+  Traffic traffic(fleet);
+  startAll(fleet, kLarge);
+  fleet.advance(5);
+  const std::size_t perNode = traffic.bytes / kLarge;
+  BOOST_TEST_MESSAGE("bytes per node: " << perNode
+                                        << ", messages per node: " << traffic.messages / kLarge);
+  BOOST_TEST(perNode < kCopies * kLarge * kRecordBytes);
+  BOOST_TEST(traffic.messages / kLarge < 400U);
+}
+
+BOOST_AUTO_TEST_CASE(a_newcomer_knows_a_large_fleet_within_a_second) {
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(10);
+  fleet.start(kLarge);
+  fleet.advance(1);
+  BOOST_TEST(fleet.countHolding(kLarge, NodeState::Alive) == kLarge);
+  BOOST_TEST(fleet.countAlivePairs() == (kLarge + 1) * kLarge);
+}
+
+// Each change went from its origin to all nodes, over as many links.
+BOOST_AUTO_TEST_CASE(a_change_reaches_a_large_fleet_over_a_bounded_number_of_links) {
+  constexpr std::size_t kMostLinks = 40;
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(10);
+  Traffic traffic(fleet);
+  fleet.cores.at(TestFleet::id(4))->announceDraining(true);
+  fleet.harness.advance(std::chrono::milliseconds(150));
+  const int holding = fleet.countHolding(4, NodeState::Draining);
+  BOOST_TEST(holding >= kLarge * 9 / 10);
+  BOOST_TEST(traffic.mostReceivers() < kMostLinks);
+  fleet.advance(3);
+  BOOST_TEST(fleet.countHolding(4, NodeState::Draining) == kLarge - 1);
+}
+
+// A few differing records cost a few entries, not a whole vector.
+BOOST_AUTO_TEST_CASE(one_missed_change_is_repaired_at_a_cost_that_does_not_grow_with_the_fleet) {
+  constexpr std::size_t kMostBytes = 8192;
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(10);
+  fleet.cores.at(TestFleet::id(4))->announceDraining(true);
+  fleet.harness.queue.clear();
+  Traffic traffic(fleet);
+  fleet.advance(8);
+  BOOST_TEST(fleet.countHolding(4, NodeState::Draining) == kLarge - 1);
+  const std::size_t perNode = traffic.bytes / kLarge;
+  BOOST_TEST_MESSAGE("bytes per node: " << perNode);
+  BOOST_TEST(perNode < kMostBytes);
+}
--- a/tests/register/self_admission_test.cpp
+++ b/tests/register/self_admission_test.cpp
@@ -15,16 +15,26 @@
 namespace {
 
 struct AdmissionFleet {
-  AdmissionFleet() {
+  explicit AdmissionFleet(int acceptors = 3) : fleet(acceptors, 0) {
     BOOST_REQUIRE(fleet.form());
-    for (const char* id : {"a1", "a2", "a3"}) {
-      directory.add(id, NodeRole::Register);
+    for (const NodeId& id : fleet.acceptorIds) {
+      directory.add(id.address, NodeRole::Register);
+      admit(id.address);
     }
   }
-  SelfAdmissionCore& admit(const std::string& id) {
+  /// The machine's process ends, and all others hold it dead.
+  void end(const std::string& id) {
+    fleet.crash(id);
+    cores.erase(id);
+    fleet.harness.context(id, ServiceId::Admission);
+    directory.set(id, NodeRole::Register, NodeState::Dead);
+  }
+  SelfAdmissionCore& admit(const std::string& id) { return admit(id, directory); }
+  /// Starts the core with a directory of its own.
+  SelfAdmissionCore& admit(const std::string& id, const Directory& view) {
     HarnessContext& context = fleet.harness.context(id, ServiceId::Admission);
     cores[id] = std::make_unique<SelfAdmissionCore>(
-        context, fleet.registers(id), directory, SelfAdmissionCore::Kind::Acceptor,
+        context, fleet.registers(id), view, SelfAdmissionCore::Kind::Acceptor,
         fleet.nodes[id].options.storeId, [this] { return holdsAll; },
         [this] { return placesToTake; }, [this] { return leaving; });
     fleet.harness.attach(context, *cores[id]);
@@ -37,7 +47,7 @@
       return member.id.address == id && member.storeId == fleet.nodes[id].options.storeId;
     });
   }
-  RegisterFleet fleet{3, 0};
+  RegisterFleet fleet;
   FixedDirectory directory;
   std::map<std::string, std::unique_ptr<SelfAdmissionCore>> cores;
   bool holdsAll = true;
@@ -45,6 +55,10 @@
   std::vector<NodeId> leaving;
 };
 
+struct FiveAcceptors : AdmissionFleet {
+  FiveAcceptors() : AdmissionFleet(5) {}
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(self_admission)
@@ -103,7 +117,7 @@
   directory.set("a1", NodeRole::Register, NodeState::Draining);
   fleet.harness.advance(seconds(4));
   BOOST_TEST(isMember("a1"));
-  directory.set("a1", NodeRole::Register, NodeState::Dead);
+  end("a1");
   fleet.harness.advance(seconds(3));
   BOOST_TEST(isMember("a4"));
   BOOST_TEST(!isMember("a1"));
@@ -141,8 +155,8 @@
   BOOST_TEST(isMember("a5"));
 }
 
-BOOST_FIXTURE_TEST_CASE(two_newcomers_take_two_places, AdmissionFleet) {
-  for (const char* id : {"a4", "a5"}) {
+BOOST_FIXTURE_TEST_CASE(two_newcomers_take_two_places, FiveAcceptors) {
+  for (const char* id : {"a6", "a7"}) {
     fleet.addControl(id);
     directory.add(id, NodeRole::Register);
     admit(id);
@@ -153,11 +167,62 @@
   }
   fleet.harness.advance(milliseconds(500));
   for (const char* id : {"a1", "a3"}) {
-    directory.set(id, NodeRole::Register, NodeState::Dead);
+    end(id);
   }
   fleet.harness.advance(seconds(6));
-  BOOST_TEST(isMember("a4"));
-  BOOST_TEST(isMember("a5"));
+  BOOST_TEST(isMember("a6"));
+  BOOST_TEST(isMember("a7"));
+}
+
+// Two healthy machines that had not heard of each other took each other's place again and again.
+BOOST_FIXTURE_TEST_CASE(a_member_that_only_this_machine_misses_keeps_its_place, AdmissionFleet) {
+  FixedDirectory withoutMember;
+  for (const char* id : {"a1", "a2", "a4"}) {
+    withoutMember.add(id, NodeRole::Register);
+  }
+  fleet.addControl("a4");
+  admit("a4", withoutMember);
+  fleet.harness.advance(seconds(20));
+  BOOST_TEST(!isMember("a4"));
+  BOOST_TEST(isMember("a3"));
+  BOOST_TEST(fleet.registers("a2").knownMembers().version == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_member_that_answers_keeps_its_place_though_nobody_lists_it,
+                        AdmissionFleet) {
+  FixedDirectory withoutMember;
+  for (const char* id : {"a1", "a2", "a4"}) {
+    withoutMember.add(id, NodeRole::Register);
+  }
+  fleet.addControl("a4");
+  for (const char* id : {"a1", "a2", "a4"}) {
+    admit(id, withoutMember);
+  }
+  fleet.harness.advance(seconds(20));
+  BOOST_TEST(isMember("a3"));
+  BOOST_TEST(fleet.registers("a2").knownMembers().version == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_member_is_not_replaced_on_the_word_of_a_minority, FiveAcceptors) {
+  FixedDirectory withoutMember;
+  for (const char* id : {"a1", "a2", "a4", "a5", "a6"}) {
+    withoutMember.add(id, NodeRole::Register);
+  }
+  fleet.addControl("a6");
+  for (const char* id : {"a1", "a2", "a6"}) {
+    admit(id, withoutMember);
+  }
+  for (const char* id : {"a4", "a5"}) {
+    fleet.harness.context(id, ServiceId::Admission);
+  }
+  end("a3");
+  fleet.harness.advance(seconds(20));
+  BOOST_TEST(!isMember("a6"));
+  for (const char* id : {"a4", "a5"}) {
+    admit(id, withoutMember);
+  }
+  fleet.harness.advance(seconds(4));
+  BOOST_TEST(isMember("a6"));
 }
 
 BOOST_FIXTURE_TEST_CASE(a_successor_takes_the_place_of_a_retiring_member, AdmissionFleet) {
