--- a/src/membership/directory_core.cpp
+++ b/src/membership/directory_core.cpp
@@ -1,5 +1,6 @@
 #include "membership/directory_core.h"
 
+#include "kernel/rendezvous.h"
 #include "membership/incarnation.h"
 
 #include <algorithm>
@@ -47,7 +48,7 @@
                     const std::string& bytes) { recordChanged(origin, version, topic, bytes); }),
       exchange_(
           context, store_, options, [this] { return hiddenOrigins(); },
-          [this] { return peers(false); },
+          [this] { return gossipPeers(); },
           [this](const GossipVersion& seen) { checkOwnRecord(seen); }),
       monitor_(options), liveness_(options), table_(std::make_shared<const NodeTable>()) {
   exchange_.setForwardTimer(kForwardTimer);
@@ -87,7 +88,7 @@
 void DirectoryCore::publish(const std::string& topic, const std::string& bytes) {
   const std::uint32_t before = store_.version(self_.id).sequence;
   store_.publish(self_.id, topic, bytes);
-  exchange_.spreadOwn(before, peers(false));
+  exchange_.spreadOwn(before, gossipPeers());
 }
 
 void DirectoryCore::subscribe(const std::string& topic, Listener listener) {
@@ -152,10 +153,13 @@
   store_.raiseIncarnation(self_.id, self_.incarnation);
   store_.publish(self_.id, kSuspicionTopic, encodeRecord(SuspicionList{}));
   store_.publish(self_.id, kNodeTopic, ownNodeBytes());
-  std::vector<NodeId> everyone = peers(false);
+  // A node that holds this one dead may be held dead here as well.
   const std::vector<NodeId> dead = peers(true);
-  everyone.insert(everyone.end(), dead.begin(), dead.end());
-  exchange_.spreadOwn(0, everyone.empty() ? seeds_ : everyone);
+  exchange_.spreadOwn(0, gossipPeers());
+  exchange_.spreadOwn(0, dead);
+  if (dead.empty() && gossipPeers().empty()) {
+    exchange_.spreadOwn(0, seeds_);
+  }
   context_.logStateChange("directory: own incarnation raised");
 }
 
@@ -203,8 +207,7 @@
 }
 
 void DirectoryCore::pingWatched() {
-  const auto current = table();
-  for (const NodeId& target : monitor_.tick(context_.now(), self_.id, *current)) {
+  for (const NodeId& target : monitor_.tick(context_.now(), self_.id, table())) {
     context_.send(target, Ping{monitor_.pingNumber(), doubtAbout(target)});
   }
 }
@@ -233,7 +236,7 @@
 }
 
 void DirectoryCore::compareWithSomeone() {
-  const std::vector<NodeId> live = peers(false);
+  const std::vector<NodeId>& live = gossipPeers();
   if (!live.empty()) {
     exchange_.compareWith({live[context_.random()() % live.size()]});
   }
@@ -307,6 +310,20 @@
   return found;
 }
 
+const std::vector<NodeId>& DirectoryCore::gossipPeers() {
+  const std::shared_ptr<const NodeTable> current = table();
+  if (gossipPeersOf_ == current) {
+    return gossipPeers_;
+  }
+  gossipPeersOf_ = current;
+  gossipPeers_ = peers(false);
+  if (gossipPeers_.size() > options_.directTargets) {
+    gossipPeers_ = rendezvousOrder(self_.id.address, std::move(gossipPeers_));
+    gossipPeers_.resize(options_.directTargets);
+  }
+  return gossipPeers_;
+}
+
 std::string DirectoryCore::ownNodeBytes() const {
   return encodeRecord(self_);
 }
--- a/src/membership/directory_core.h
+++ b/src/membership/directory_core.h
@@ -73,6 +73,9 @@
   std::set<NodeId> hiddenOrigins() const;
   std::uint64_t doubtAbout(const NodeId& node) const;
   std::vector<NodeId> peers(bool dead) const;
+  /// The live nodes that this one compares itself with and passes changes on to: all of a small
+  /// fleet, `directTargets` of a large one, so that it has few links.
+  const std::vector<NodeId>& gossipPeers();
   std::string ownNodeBytes() const;
 
   CoreContext& context_;
@@ -91,6 +94,8 @@
   std::vector<std::function<void(const NodeTable&)>> listeners_;
   std::map<std::string, std::vector<Listener>> subscribers_;
   std::uint64_t ticks_ = 0;
+  std::shared_ptr<const NodeTable> gossipPeersOf_;  ///< The table that `gossipPeers_` follows from.
+  std::vector<NodeId> gossipPeers_;
 };
 
 }  // namespace shedshed
--- a/src/membership/peer_monitor.cpp
+++ b/src/membership/peer_monitor.cpp
@@ -46,20 +46,24 @@
   return watched;
 }
 
-std::vector<NodeId> PeerMonitor::tick(Time now, const NodeId& self, const NodeTable& table) {
+std::vector<NodeId> PeerMonitor::tick(Time now, const NodeId& self,
+                                      const std::shared_ptr<const NodeTable>& table) {
   const bool stoodStill =
       tickNumber_ > 0 && now - lastTick_ > kFrozenIntervals * options_.pingInterval;
   lastTick_ = now;
   ++tickNumber_;
-  const std::vector<NodeId> watched = watchedNodes(self, table, options_.watchersPerNode);
+  if (watchedOf_ != table) {
+    watchedOf_ = table;
+    watched_ = watchedNodes(self, *table, options_.watchersPerNode);
+  }
   std::map<NodeId, Watch> kept;
   std::vector<NodeId> toPing;
-  for (const NodeId& target : watched) {
+  for (const NodeId& target : watched_) {
     Watch watch = watches_[target];
     if (watch.firstUnanswered != 0 && !stoodStill) {
       ++watch.missed;
     }
-    const bool dead = table.find(target)->state == NodeState::Dead;
+    const bool dead = table->find(target)->state == NodeState::Dead;
     if (!dead || tickNumber_ % options_.deadProbeTicks == 0) {
       toPing.push_back(target);
       if (watch.firstUnanswered == 0) {
--- a/src/membership/peer_monitor.h
+++ b/src/membership/peer_monitor.h
@@ -8,6 +8,7 @@
 #include "membership/membership_messages.h"
 
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace shedshed {
@@ -26,7 +27,8 @@
 
   /// Judges the pings of the interval before and returns the nodes to ping now. Dead nodes are
   /// pinged at a slower pace, so that a healed cut is noticed.
-  std::vector<NodeId> tick(Time now, const NodeId& self, const NodeTable& table);
+  std::vector<NodeId> tick(Time now, const NodeId& self,
+                           const std::shared_ptr<const NodeTable>& table);
 
   /// Number to send in the pings of this interval.
   std::uint64_t pingNumber() const { return tickNumber_; }
@@ -51,6 +53,8 @@
   };
 
   const DirectoryOptions options_;
+  std::shared_ptr<const NodeTable> watchedOf_;  ///< The table that `watched_` follows from.
+  std::vector<NodeId> watched_;
   std::map<NodeId, Watch> watches_;
   std::uint64_t tickNumber_ = 0;
   Time lastTick_{};
--- a/src/wire/tcp_transport.cpp
+++ b/src/wire/tcp_transport.cpp
@@ -45,26 +45,42 @@
 
   void start() {
     setKeepAlive(socket_, owner_.knobs_.keepAliveSeconds, owner_.knobs_.keepAliveProbes);
-    read();
+    error_code failed;
+    socket_.non_blocking(true, failed);
+    if (!failed) {
+      waitForBytes();
+    }
   }
 
  private:
-  void read() {
-    const std::size_t used = buffer_.size();
-    buffer_.resize(used + kReadBytes);
-    socket_.async_read_some(
-        net::buffer(&buffer_[used], kReadBytes),
-        [self = shared_from_this(), used](const error_code& failed, std::size_t size) {
-          self->buffer_.resize(used + size);
-          if (!failed && !self->owner_.stopped_ && self->takeFrames()) {
-            self->read();
-          }
-        });
+  void waitForBytes() {
+    socket_.async_wait(net::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& failed) {
+                         if (!failed && !self->owner_.stopped_ && self->read()) {
+                           self->waitForBytes();
+                         }
+                       });
+  }
+
+  /// Reads once and hands all whole frames on. False if the link must be closed.
+  bool read() {
+    error_code failed;
+    const std::size_t size = socket_.read_some(net::buffer(owner_.readBuffer_), failed);
+    if (failed) {
+      return failed == net::error::would_block || failed == net::error::try_again;
+    }
+    const std::string_view bytes(owner_.readBuffer_.data(), size);
+    if (partial_.empty()) {
+      return takeFrames(bytes);
+    }
+    std::string joined;
+    joined.swap(partial_);
+    joined += bytes;
+    return takeFrames(joined);
   }
 
-  /// Hands all whole frames on. False if the link must be closed.
-  bool takeFrames() {
-    std::string_view rest = buffer_;
+  /// Hands all whole frames on and keeps the rest. False if a frame is too long.
+  bool takeFrames(std::string_view rest) {
     while (rest.size() >= kLengthBytes) {
       const std::uint32_t length = frameLength(rest);
       if (length > owner_.knobs_.maxFrameBytes) {
@@ -77,13 +93,13 @@
       owner_.received(rest.substr(kLengthBytes, length));
       rest.remove_prefix(kLengthBytes + length);
     }
-    buffer_.erase(0, buffer_.size() - rest.size());
+    partial_ = rest;
     return true;
   }
 
   TcpTransport& owner_;
   net::ip::tcp::socket socket_;
-  std::string buffer_;
+  std::string partial_;  ///< The beginning of a frame whose end has not arrived.
 };
 
 /// The link to one peer: connects when there is something to send.
@@ -230,7 +246,8 @@
 
 TcpTransport::TcpTransport(net::io_context& loop, NodeId self, const FleetKey& key,
                            Counters& counters, TcpTransportKnobs knobs)
-    : loop_(loop), self_(std::move(self)), key_(key), counters_(counters), knobs_(knobs) {}
+    : loop_(loop), self_(std::move(self)), key_(key), counters_(counters), knobs_(knobs),
+      readBuffer_(kReadBytes) {}
 
 TcpTransport::~TcpTransport() {
   stop();
--- a/src/wire/tcp_transport.h
+++ b/src/wire/tcp_transport.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace shedshed {
 
@@ -59,6 +60,7 @@
   Receiver receiver_;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::map<NodeId, std::shared_ptr<Outgoing>> outgoing_;
+  std::vector<char> readBuffer_;  ///< Of all incoming links: only one is read at a time.
   bool stopped_ = false;
 };
 
--- a/tests/engines/engine_list_core_test.cpp
+++ b/tests/engines/engine_list_core_test.cpp
@@ -162,3 +162,78 @@
   }
   BOOST_TEST(longest <= 150);
 }
+
+// In a large fleet one node answered the pulls of all, and every register node read the source.
+BOOST_AUTO_TEST_CASE(data_nodes_of_a_large_fleet_pull_from_relays) {
+  constexpr int kStores = 8;
+  constexpr int kAll = 120;
+  TestFleet fleet;
+  std::map<int, FakeListing> listings;
+  std::map<int, std::unique_ptr<EngineListCore>> lists;
+  const auto roleOf = [](int index) {
+    if (index < kRegisters) {
+      return NodeRole::Register;
+    }
+    return index < kRegisters + kStores ? NodeRole::Store : NodeRole::Data;
+  };
+  const auto setAll = [&](const std::vector<EngineInfo>& engines) {
+    for (auto& entry : listings) {
+      entry.second.engines = engines;
+    }
+  };
+  for (int index = 0; index < kAll; ++index) {
+    fleet.start(index, roleOf(index));
+    HarnessContext& context = fleet.harness.context(fleet.id(index).address, ServiceId::EngineList);
+    lists[index] =
+        std::make_unique<EngineListCore>(context, *fleet.cores.at(fleet.id(index)),
+                                         index < kRegisters ? &listings[index] : nullptr);
+    fleet.harness.attach(context, *lists[index]);
+  }
+  setAll({engineOf("e1"), engineOf("e2")});
+  for (int index = 0; index < kAll; ++index) {
+    lists[index]->start();
+  }
+  fleet.advance(5);
+  for (int index = 0; index < kAll; ++index) {
+    BOOST_TEST(lists[index]->table()->engines.size() == 2U);
+  }
+
+  std::map<NodeId, int> pulls;
+  fleet.harness.filter = [&](const Harness::Envelope& envelope) {
+    const bool isPull = envelope.message.service == ServiceId::EngineList &&
+                        envelope.message.kind == ListingPull::kKind;
+    pulls[envelope.to] += isPull ? 1 : 0;
+    return true;
+  };
+  std::map<int, int> readsBefore;
+  for (const auto& entry : listings) {
+    readsBefore[entry.first] = entry.second.reads;
+  }
+  constexpr int kSeconds = 10;
+  fleet.advance(kSeconds);
+  int readers = 0;
+  for (const auto& entry : listings) {
+    readers += entry.second.reads > readsBefore[entry.first] ? 1 : 0;
+  }
+  BOOST_TEST(readers == 1);
+  // A direct answer to each node's two pulls a second would be 240 a second.
+  for (const auto& entry : pulls) {
+    BOOST_TEST(entry.second / kSeconds < 100);
+  }
+
+  setAll({engineOf("e1", EngineState::Draining), engineOf("e2")});
+  fleet.harness.advance(std::chrono::milliseconds(2000));
+  for (int index = 0; index < kAll; ++index) {
+    BOOST_TEST((lists[index]->table()->engines[0].state == EngineState::Draining));
+    BOOST_TEST(toMilliseconds(fleet.harness.now - lists[index]->provedAt()) < 2000);
+  }
+  // The reader is cut from the source: another one reads instead.
+  for (auto& entry : listings) {
+    entry.second.fails = entry.second.reads > readsBefore[entry.first];
+  }
+  setAll({engineOf("e1"), engineOf("e2", EngineState::Draining)});
+  fleet.harness.advance(std::chrono::milliseconds(4000));
+  for (int index = 0; index < kAll; ++index) {
+    BOOST_TEST((lists[index]->table()->engines[1].state == EngineState::Draining));
+  }
+}
--- a/tests/membership/large_fleet_test.cpp
+++ b/tests/membership/large_fleet_test.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int kLarge = 300;
+/// Pings within which a mass failure must be known: five seconds at the interval of the platform.
+constexpr int kPingsToKnow = 14;
 /// A record of a node with its addresses takes about this much.
 constexpr std::size_t kRecordBytes = 250;
 
@@ -131,3 +133,101 @@
   BOOST_TEST_MESSAGE("bytes per node: " << perNode);
   BOOST_TEST(perNode < kMostBytes);
 }
+
+// The kinds of bad days, with nothing but directories.
+
+BOOST_AUTO_TEST_CASE(a_large_fleet_whose_processes_all_start_again_meets_again) {
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(5);
+  for (int i = 0; i < kLarge; ++i) {
+    fleet.kill(i);
+  }
+  fleet.advance(1);
+  startAll(fleet, kLarge);
+  fleet.advance(4);
+  BOOST_TEST(fleet.countAlivePairs() == kLarge * (kLarge - 1));
+}
+
+BOOST_AUTO_TEST_CASE(the_loss_of_a_zone_is_known_to_all_others_within_fourteen_pings) {
+  constexpr int kZones = 3;
+  constexpr int kLeft = kLarge * (kZones - 1) / kZones;
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(5);
+  for (int i = 0; i < kLarge; i += kZones) {
+    fleet.kill(i);
+  }
+  fleet.advance(kPingsToKnow);
+  for (int i = 0; i < kLarge; i += kZones) {
+    BOOST_TEST(fleet.countHolding(i, NodeState::Dead) == kLeft);
+  }
+  BOOST_TEST(fleet.countAlivePairs() == kLeft * (kLeft - 1));
+}
+
+BOOST_AUTO_TEST_CASE(a_rolling_restart_of_a_large_fleet_leaves_nobody_dead) {
+  constexpr int kAtOnce = 15;
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(5);
+  for (int first = 0; first < kLarge; first += kAtOnce) {
+    for (int i = first; i < first + kAtOnce; ++i) {
+      fleet.cores.at(TestFleet::id(i))->announceDraining(true);
+    }
+    fleet.advance(1);
+    for (int i = first; i < first + kAtOnce; ++i) {
+      fleet.kill(i);
+    }
+    for (int i = first; i < first + kAtOnce; ++i) {
+      fleet.start(i);
+    }
+    fleet.advance(1);
+  }
+  fleet.advance(5);
+  BOOST_TEST(fleet.countAlivePairs() == kLarge * (kLarge - 1));
+}
+
+BOOST_AUTO_TEST_CASE(two_halves_of_a_large_fleet_that_were_cut_find_each_other_again) {
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(5);
+  for (int i = 0; i < kLarge; i += 2) {
+    fleet.otherSide.insert(TestFleet::id(i));
+  }
+  fleet.advance(8);
+  fleet.otherSide.clear();
+  fleet.advance(20);
+  BOOST_TEST(fleet.countAlivePairs() == kLarge * (kLarge - 1));
+}
+
+BOOST_AUTO_TEST_CASE(nodes_that_leave_at_short_notice_are_known_to_drain_and_then_to_be_dead) {
+  constexpr int kLeaving = 60;
+  TestFleet fleet;
+  startAll(fleet, kLarge);
+  fleet.advance(5);
+  for (int i = 0; i < kLeaving; ++i) {
+    fleet.cores.at(TestFleet::id(i))->announceDraining(true);
+  }
+  fleet.advance(2);
+  for (int i = 0; i < kLeaving; ++i) {
+    BOOST_TEST(fleet.countHolding(i, NodeState::Draining) == kLarge - 1);
+  }
+  for (int i = 0; i < kLeaving; ++i) {
+    fleet.kill(i);
+  }
+  fleet.advance(kPingsToKnow);
+  for (int i = 0; i < kLeaving; ++i) {
+    BOOST_TEST(fleet.countHolding(i, NodeState::Dead) == kLarge - kLeaving);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(mutation_without_passing_on_a_change_reaches_few) {
+  DirectoryOptions options;
+  options.forwardTargets = 0;
+  TestFleet fleet(options);
+  startAll(fleet, kLarge);
+  fleet.advance(15);
+  fleet.cores.at(TestFleet::id(4))->announceDraining(true);
+  fleet.harness.advance(std::chrono::milliseconds(150));
+  BOOST_TEST(fleet.countHolding(4, NodeState::Draining) < kLarge / 2);
+}
