--- a/src/engines/engine_list_core.h
+++ b/src/engines/engine_list_core.h
@@ -1,11 +1,11 @@
 /// @file
 /// Brings the platform's listing of engines to all nodes, through one reader.
 ///
-/// Register nodes can read the source. The first live one in the agreed order (by id) reads it while
-/// it is asked, so there is one reader at a time without an election; another one reads only when
-/// its own copy grows old. Nodes pull the listing from the reader; in a large fleet data nodes pull
-/// it from the other control nodes, which relay their copies, each data node from one chosen by
-/// rendezvous. A node whose source is silent, or has an old copy, asks the next one.
+/// Register nodes can read the source. The first live one in the agreed order (by id) reads it
+/// while it is asked, so there is one reader at a time without an election; another one reads only
+/// when its own copy grows old. Nodes pull the listing from the reader; in a large fleet data nodes
+/// pull it from the other control nodes, which relay their copies, each data node from one chosen
+/// by rendezvous. A node whose source is silent, or has an old copy, asks the next one.
 ///
 /// A pull proves that its answer's listing was current at the moment at which the pull was sent,
 /// less the age that the answerer gives: no clocks of two nodes are compared. So each node knows
--- a/src/membership/directory_core.h
+++ b/src/membership/directory_core.h
@@ -1,8 +1,8 @@
 /// @file
 /// The directory: who is in the fleet, who lives, and the gossip that carries it.
 ///
-/// Dissemination: see `GossipExchange`. Each interval a node compares the hash of its version vector
-/// with one random live node.
+/// Dissemination: see `GossipExchange`. Each interval a node compares the hash of its version
+/// vector with one random live node.
 ///
 /// Computed traffic at 390 nodes, payload bytes per node: pings 2 x 3 x ~12 B/s and hashes
 /// 2 x ~12 B/s: ~100 B/s; a difference costs 64 hashes of 8 B and the entries of the buckets that
--- a/src/membership/gossip_exchange.h
+++ b/src/membership/gossip_exchange.h
@@ -75,7 +75,7 @@
   std::function<std::vector<NodeId>()> livePeers_;
   std::function<void(const GossipVersion&)> ownRecordSeen_;
   std::map<NodeId, GossipVersion> forgotten_;
-  std::vector<NodeId> newcomers_;  ///< Learned from others in the present message.
+  std::vector<NodeId> newcomers_;     ///< Learned from others in the present message.
   std::vector<GossipDelta> pending_;  ///< To be passed on.
   TimerId forwardTimer_ = 0;
   bool forwardTimerRuns_ = false;
--- a/src/register/self_admission.cpp
+++ b/src/register/self_admission.cpp
@@ -130,7 +130,8 @@
   return node != nullptr && node->state != NodeState::Dead;
 }
 
-// The verdict is looked at a check after the question, so that the member itself has time to answer.
+// The verdict is looked at a check after the question, so that the member itself has time to
+// answer.
 bool SelfAdmissionCore::isMissedByOthers(const NodeId& id) {
   const auto member = std::find_if(members().begin(), members().end(),
                                    [&](const auto& candidate) { return candidate.id == id; });
--- a/src/register/self_admission.h
+++ b/src/register/self_admission.h
@@ -35,7 +35,8 @@
 /// - that of a retiring member whose successor it is.
 ///
 /// What this machine misses, others may see: before it asks for the place of a member that it takes
-/// for lost or stopped, a majority of the acceptors must miss that member too, and nobody may see it.
+/// for lost or stopped, a majority of the acceptors must miss that member too, and nobody may see
+/// it.
 ///
 /// Safety does not rest on these guesses: a change of the members needs majorities of the old and
 /// of the new list, and a store asks only once it holds all data.
--- a/tests/engines/engine_list_core_test.cpp
+++ b/tests/engines/engine_list_core_test.cpp
@@ -184,9 +184,8 @@
   for (int index = 0; index < kAll; ++index) {
     fleet.start(index, roleOf(index));
     HarnessContext& context = fleet.harness.context(fleet.id(index).address, ServiceId::EngineList);
-    lists[index] =
-        std::make_unique<EngineListCore>(context, *fleet.cores.at(fleet.id(index)),
-                                         index < kRegisters ? &listings[index] : nullptr);
+    lists[index] = std::make_unique<EngineListCore>(
+        context, *fleet.cores.at(fleet.id(index)), index < kRegisters ? &listings[index] : nullptr);
     fleet.harness.attach(context, *lists[index]);
   }
   setAll({engineOf("e1"), engineOf("e2")});
