Late acceptors are added until the fleet has as many as its promise needs

A register node with a disk that is no member now asks to be one more acceptor while there are too few. Safe like a replacement: it holds every register first, and the list changes by one member, written to majorities of the old and of the new list.

Tests: late_acceptors_are_added_until_there_are_enough (with acceptorsNeeded = 0, as before, the list keeps three), no_acceptor_is_added_to_a_fleet_that_has_enough.

--- a/src/process/state_process.cpp
+++ b/src/process/state_process.cpp
@@ -89,9 +89,11 @@
     node_.runtime.attach(ServiceId::Succession, *successor_);
     placesToTake = [this] { return successor_->placesToTake(); };
   }
+  SelfAdmissionOptions admission;
+  admission.acceptorsNeeded = membersNeeded(settings_.toleratedLosses);
   admission_ = std::make_unique<SelfAdmissionCore>(
       node_.runtime.context(ServiceId::Admission), cores_->registers, cores_->directory, kind,
-      storeId_, mayBeCounted, placesToTake, [this] { return retirements_->nodes(); });
+      storeId_, mayBeCounted, placesToTake, [this] { return retirements_->nodes(); }, admission);
   node_.runtime.attach(ServiceId::Admission, *admission_);
 }
 
--- a/src/register/member_replacement.cpp
+++ b/src/register/member_replacement.cpp
@@ -41,9 +41,10 @@
 
 }  // namespace
 
-MemberReplacement::MemberReplacement(ProposalHost& host, OperationId id, NodeId oldId, NodeId newId,
-                                     RunProposal runProposal, ReplacementDone done)
-    : host_(host), id_(id), oldId_(std::move(oldId)), newId_(std::move(newId)),
+MemberReplacement::MemberReplacement(ProposalHost& host, OperationId id, MemberChange change,
+                                     NodeId oldId, NodeId newId, RunProposal runProposal,
+                                     ReplacementDone done)
+    : host_(host), id_(id), change_(change), oldId_(std::move(oldId)), newId_(std::move(newId)),
       runProposal_(std::move(runProposal)), done_(std::move(done)) {}
 
 void MemberReplacement::start() {
@@ -113,15 +114,15 @@
   baseVersion_ = read.value().value.version;
   list_ = std::move(list).value();
   isMemberNow_ = isListedWith(list_.acceptors, newcomer_) || isListedWith(list_.stores, newcomer_);
-  if (!isMemberNow_ && !isListed(list_, oldId_)) {
+  if (!isMemberNow_ && !isAddition() && !isListed(list_, oldId_)) {
     finish(makeError(ErrorCode::NotFound, oldId_.address + ": is no member"));
     return;
   }
-  if (!isMemberNow_ && newId_ != oldId_ && isListed(list_, newId_)) {
+  if (!isMemberNow_ && (isAddition() || newId_ != oldId_) && isListed(list_, newId_)) {
     finish(makeError(ErrorCode::AlreadyExists, newId_.address + ": is a member with another disk"));
     return;
   }
-  if (isMemberNow_ && newId_ != oldId_ && isListed(list_, oldId_)) {
+  if (isMemberNow_ && !isAddition() && newId_ != oldId_ && isListed(list_, oldId_)) {
     finish(makeError(ErrorCode::AlreadyExists, newId_.address + ": is another member"));
     return;
   }
@@ -186,8 +187,12 @@
 }
 
 void MemberReplacement::changeMembers() {
-  replaceIn(list_.acceptors, oldId_, newcomer_);
-  replaceIn(list_.stores, oldId_, newcomer_);
+  if (isAddition()) {
+    list_.acceptors.push_back(newcomer_);
+  } else {
+    replaceIn(list_.acceptors, oldId_, newcomer_);
+    replaceIn(list_.stores, oldId_, newcomer_);
+  }
   ChangeRequest change;
   change.registerName = kMembersRegister;
   change.baseVersion = baseVersion_;
--- a/src/register/member_replacement.h
+++ b/src/register/member_replacement.h
@@ -1,5 +1,5 @@
 /// @file
-/// Replaces one machine of the member list.
+/// Replaces one machine of the member list, or adds an acceptor to it.
 #pragma once
 
 #include "register/proposal.h"
@@ -16,7 +16,13 @@
 /// Starts a proposal; its answer goes back to the replacement.
 using RunProposal = std::function<void(ProposalSpec, std::function<void(Result<ProposalOutcome>)>)>;
 
-/// The steps of one replacement, all of which may be repeated:
+/// What becomes of the member list.
+enum class MemberChange {
+  Replacement,       ///< The newcomer takes the place of a member.
+  AcceptorAddition,  ///< The newcomer becomes one more acceptor; nobody leaves.
+};
+
+/// The steps of one replacement or addition, all of which may be repeated:
 /// 1. ask the newcomer for its store id;
 /// 2. commit every register again under the present list, with the newcomer as an additional
 ///    acceptor that must accept too: then it holds all the data, and whatever older lists committed
@@ -29,8 +35,9 @@
 /// The old and the new id may be equal: an emptied machine that comes back at its address.
 class MemberReplacement {
  public:
-  MemberReplacement(ProposalHost& host, OperationId id, NodeId oldId, NodeId newId,
-                    RunProposal runProposal, ReplacementDone done);
+  /// @p oldId is not used for an addition.
+  MemberReplacement(ProposalHost& host, OperationId id, MemberChange change, NodeId oldId,
+                    NodeId newId, RunProposal runProposal, ReplacementDone done);
 
   void start();
   void identityAnswered(const NodeId& from, const IdentityAnswer& answer);
@@ -45,12 +52,14 @@
   void membersRead(const Result<ProposalOutcome>& read);
   void copyRegisters(std::size_t index);
   void changeMembers();
+  bool isAddition() const { return change_ == MemberChange::AcceptorAddition; }
   void announceMembers();
   void sendRequests();
   void finish(Result<MemberList> result);
 
   ProposalHost& host_;
   const OperationId id_;
+  const MemberChange change_;
   const NodeId oldId_;
   const NodeId newId_;
   RunProposal runProposal_;
--- a/src/register/register_core.cpp
+++ b/src/register/register_core.cpp
@@ -157,13 +157,22 @@
 }
 
 void RegisterCore::replaceMember(const NodeId& oldId, const NodeId& newId, ReplacementDone done) {
+  changeMember(MemberChange::Replacement, oldId, newId, std::move(done));
+}
+
+void RegisterCore::addAcceptor(const NodeId& newId, ReplacementDone done) {
+  changeMember(MemberChange::AcceptorAddition, {}, newId, std::move(done));
+}
+
+void RegisterCore::changeMember(MemberChange change, const NodeId& oldId, const NodeId& newId,
+                                ReplacementDone done) {
   const OperationId id = ++lastOperation_;
   auto run = [this](ProposalSpec spec, Proposal::Done proposalDone) {
     runProposal(std::move(spec), std::move(proposalDone));
   };
   auto& replacement = replacements_[id];
-  replacement = std::make_unique<MemberReplacement>(host(), id, oldId, newId, std::move(run),
-                                                    std::move(done));
+  replacement = std::make_unique<MemberReplacement>(host(), id, change, oldId, newId,
+                                                    std::move(run), std::move(done));
   replacement->start();
 }
 
--- a/src/register/register_core.h
+++ b/src/register/register_core.h
@@ -56,6 +56,9 @@
   /// send again after any failure.
   void replaceMember(const NodeId& oldId, const NodeId& newId, ReplacementDone done);
 
+  /// Makes a machine that is no member one more acceptor. Otherwise as `replaceMember`.
+  void addAcceptor(const NodeId& newId, ReplacementDone done);
+
   /// The newest member list that this node knows to be committed; version 0 if none.
   const KnownMembers& knownMembers() const { return members_; }
 
@@ -76,6 +79,8 @@
   void startTimer(OperationId operation, OperationTimer timer, Duration after) override;
   void stopTimer(OperationId operation, OperationTimer timer) override;
 
+  void changeMember(MemberChange change, const NodeId& oldId, const NodeId& newId,
+                    ReplacementDone done);
   void loadMembers();
   void learnMembers(const RegisterValue& value);
   void runProposal(ProposalSpec spec, Proposal::Done done);
--- a/src/register/self_admission.cpp
+++ b/src/register/self_admission.cpp
@@ -161,7 +161,13 @@
   const std::shared_ptr<const NodeTable> nodes = directory_.table();
   watchMembers(*nodes);
   const Place place = placeToTake(*nodes);
-  if (place.member.empty() || !holdsAllData_()) {
+  if (!holdsAllData_()) {
+    return;
+  }
+  if (place.member.empty()) {
+    if (isMissing(*nodes)) {
+      askToBeAdded();
+    }
     return;
   }
   if (!place.presumedLost || isMissedByOthers(place.member)) {
@@ -172,12 +178,27 @@
 void SelfAdmissionCore::askFor(const NodeId& place) {
   asking_ = true;
   context_.logStateChange("asking for the place of " + place.address);
-  registers_.replaceMember(place, context_.self(), [this](const Result<MemberList>& list) {
-    asking_ = false;
-    sightings_.reset();
-    context_.counters().add(list ? "members_admitted_total" : "member_admission_failures_total");
-    context_.logStateChange(list ? "admitted as a member" : "not admitted: " + list.error().detail);
-  });
+  registers_.replaceMember(place, context_.self(),
+                           [this](const Result<MemberList>& list) { answered(list); });
+}
+
+bool SelfAdmissionCore::isMissing(const NodeTable& nodes) const {
+  return kind_ == Kind::Acceptor && members().size() < options_.acceptorsNeeded &&
+         isFirstSpare(nodes);
+}
+
+void SelfAdmissionCore::askToBeAdded() {
+  asking_ = true;
+  context_.logStateChange("asking to be one more acceptor");
+  registers_.addAcceptor(context_.self(),
+                         [this](const Result<MemberList>& list) { answered(list); });
+}
+
+void SelfAdmissionCore::answered(const Result<MemberList>& list) {
+  asking_ = false;
+  sightings_.reset();
+  context_.counters().add(list ? "members_admitted_total" : "member_admission_failures_total");
+  context_.logStateChange(list ? "admitted as a member" : "not admitted: " + list.error().detail);
 }
 
 }  // namespace shedshed
--- a/src/register/self_admission.h
+++ b/src/register/self_admission.h
@@ -22,6 +22,8 @@
   Duration absentFor = std::chrono::milliseconds(3000);
   /// The same for a member that had announced that it leaves; longer than a restart takes.
   Duration leftFor = std::chrono::milliseconds(1700);
+  /// Fewer acceptors than this cannot keep what was acknowledged through the tolerated losses.
+  std::size_t acceptorsNeeded = 0;
 };
 
 /// Runs on every machine with a disk, as an acceptor or as a store. One that is no member with its
@@ -32,7 +34,8 @@
 ///   that stood by: it may only be cut off;
 /// - that of a member that announced that it leaves and is dead since: it was stopped for good. Of
 ///   several machines that stand by, the first in the order of ids takes the place;
-/// - that of a retiring member whose successor it is.
+/// - that of a retiring member whose successor it is;
+/// - one more place, if the fleet was formed with fewer acceptors than it needs.
 ///
 /// What this machine misses, others may see: before it asks for the place of a member that it takes
 /// for lost or stopped, a majority of the acceptors must miss that member too, and nobody may see
@@ -81,6 +84,10 @@
   void answerSighting(const NodeId& from, const SightingRequest& request);
   void check();
   void askFor(const NodeId& place);
+  /// True if this machine is to be one more acceptor.
+  bool isMissing(const NodeTable& nodes) const;
+  void askToBeAdded();
+  void answered(const Result<MemberList>& list);
 
   CoreContext& context_;
   RegisterCore& registers_;
--- a/tests/register/self_admission_test.cpp
+++ b/tests/register/self_admission_test.cpp
@@ -36,7 +36,7 @@
     cores[id] = std::make_unique<SelfAdmissionCore>(
         context, fleet.registers(id), view, SelfAdmissionCore::Kind::Acceptor,
         fleet.nodes[id].options.storeId, [this] { return holdsAll; },
-        [this] { return placesToTake; }, [this] { return leaving; });
+        [this] { return placesToTake; }, [this] { return leaving; }, options);
     fleet.harness.attach(context, *cores[id]);
     cores[id]->start();
     return *cores[id];
@@ -53,6 +53,7 @@
   bool holdsAll = true;
   std::vector<NodeId> placesToTake;
   std::vector<NodeId> leaving;
+  SelfAdmissionOptions options;
 };
 
 struct FiveAcceptors : AdmissionFleet {
@@ -225,6 +226,36 @@
   BOOST_TEST(isMember("a6"));
 }
 
+// A fleet that was formed before its last acceptor was heard of stayed with too few of them.
+BOOST_FIXTURE_TEST_CASE(late_acceptors_are_added_until_there_are_enough, AdmissionFleet) {
+  options.acceptorsNeeded = 5;
+  for (const char* id : {"a4", "a5", "a6"}) {
+    fleet.addControl(id);
+    directory.add(id, NodeRole::Register);
+    admit(id);
+  }
+  fleet.harness.advance(seconds(10));
+  BOOST_TEST(fleet.registers("a2").knownMembers().list.acceptors.size() == 5U);
+  for (const char* id : {"a1", "a2", "a3", "a4", "a5"}) {
+    BOOST_TEST(isMember(id));
+  }
+  // Two disks may be lost now.
+  BOOST_TEST(fleet.change("a5", 0, "order", "value").has_value());
+  fleet.crash("a1");
+  fleet.crash("a3");
+  BOOST_TEST(fleet.read("a4").value().value == "value");
+}
+
+BOOST_FIXTURE_TEST_CASE(no_acceptor_is_added_to_a_fleet_that_has_enough, AdmissionFleet) {
+  options.acceptorsNeeded = 3;
+  fleet.addControl("a4");
+  directory.add("a4", NodeRole::Register);
+  admit("a4");
+  fleet.harness.advance(seconds(10));
+  BOOST_TEST(!isMember("a4"));
+  BOOST_TEST(fleet.registers("a2").knownMembers().version == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_successor_takes_the_place_of_a_retiring_member, AdmissionFleet) {
   fleet.addControl("a4");
   directory.add("a4", NodeRole::Register);
