A file of the ring gets its full size before its first use

Now a ring allocates a file when it comes to use it. A new ring still tries its whole size once, so that a disk that is too small is refused at the start. A disk without room for the next file refuses the group (StorageFull) and the ring goes on; before, it was poisoned.

--- a/src/storage/fake_file_system.cpp
+++ b/src/storage/fake_file_system.cpp
@@ -29,6 +29,18 @@
     return content_->current.substr(offset, bytes);
   }
 
+  Status allocate(std::uint64_t bytes) override { return disk_.allocate(*content_, bytes); }
+
+  Status truncate(std::uint64_t bytes) override {
+    content_->current.resize(std::min<std::size_t>(content_->current.size(), bytes));
+    content_->durable.resize(content_->current.size());
+    const std::size_t sectors =
+        (content_->current.size() + kFakeSectorBytes - 1) / kFakeSectorBytes;
+    content_->dirtySectors.erase(content_->dirtySectors.lower_bound(sectors),
+                                 content_->dirtySectors.end());
+    return okStatus();
+  }
+
   Status writeAt(std::uint64_t offset, std::string_view data) override {
     const Status power = step();
     const bool beyond = offset + data.size() > content_->current.size();
@@ -95,6 +107,31 @@
   durable.replace(at, bytes.size(), bytes);
 }
 
+std::uint64_t FakeFileSystem::fileBytes(const std::string& path) const {
+  return names_.at(path)->current.size();
+}
+
+std::uint64_t FakeFileSystem::allocatedBytes() const {
+  std::uint64_t total = 0;
+  for (const auto& entry : names_) {
+    total += entry.second->current.size();
+  }
+  return total;
+}
+
+Status FakeFileSystem::allocate(Content& content, std::uint64_t bytes) {
+  if (powerLeft_ == 0) {
+    return failed("no power");
+  }
+  const std::uint64_t others = allocatedBytes() - content.current.size();
+  if (others + bytes > limitBytes_) {
+    return makeError(ErrorCode::StorageFull, "no space");
+  }
+  content.current.resize(std::max<std::size_t>(content.current.size(), bytes));
+  content.durable.resize(content.current.size());
+  return okStatus();
+}
+
 Status FakeFileSystem::step() {
   if (powerLeft_ == 0) {
     return failed("no power");
@@ -113,19 +150,14 @@
   if (powerLeft_ == 0) {
     return failed("no power");
   }
-  std::uint64_t total = 0;
-  for (const auto& [name, content] : names_) {
-    total += name == path ? 0 : content->current.size();
-  }
-  if (total + bytes > limitBytes_) {
-    return makeError(ErrorCode::StorageFull, "no space for " + path);
-  }
-  std::shared_ptr<Content>& content = names_[path];
-  if (!content) {
-    content = std::make_shared<Content>();
+  const auto known = names_.find(path);
+  const std::shared_ptr<Content> content =
+      known == names_.end() ? std::make_shared<Content>() : known->second;
+  names_[path] = content;
+  const Status allocated = allocate(*content, bytes);
+  if (!allocated) {
+    return allocated.error();
   }
-  content->current.resize(std::max<std::size_t>(content->current.size(), bytes));
-  content->durable.resize(content->current.size());
   return std::unique_ptr<File>(std::make_unique<FakeFile>(*this, content));
 }
 
--- a/src/storage/fake_file_system.h
+++ b/src/storage/fake_file_system.h
@@ -55,6 +55,11 @@
   /// Removes all files, as a replaced disk would.
   void empty();
 
+  std::uint64_t fileBytes(const std::string& path) const;
+
+  /// Sizes of all files together.
+  std::uint64_t allocatedBytes() const;
+
   /// Writes and syncs done so far.
   std::uint64_t operations() const { return operations_; }
 
@@ -70,6 +75,7 @@
   using Names = std::map<std::string, std::shared_ptr<Content>>;
 
   Status step();
+  Status allocate(Content& content, std::uint64_t bytes);
 
   Names names_;
   Names durableNames_;
--- a/src/storage/file_system.h
+++ b/src/storage/file_system.h
@@ -13,7 +13,7 @@
 
 namespace shedshed {
 
-/// An open file of fixed size.
+/// An open file. Its size is set by `allocate`.
 class File {
  public:
   virtual ~File() = default;
@@ -21,6 +21,13 @@
   /// Reads exactly @p bytes bytes at @p offset.
   virtual Result<std::string> readAt(std::uint64_t offset, std::size_t bytes) const = 0;
 
+  /// Allocates the first @p bytes bytes, zero where never written, and makes the size durable.
+  /// StorageFull if the disk has no room. A larger file keeps its size.
+  virtual Status allocate(std::uint64_t bytes) = 0;
+
+  /// Cuts the file to @p bytes bytes and gives the room back. Durable after `sync`.
+  virtual Status truncate(std::uint64_t bytes) = 0;
+
   /// Writes all of @p data at @p offset. Durable only after `sync`.
   virtual Status writeAt(std::uint64_t offset, std::string_view data) = 0;
 
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -64,6 +64,25 @@
     return data;
   }
 
+  Status allocate(std::uint64_t bytes) override {
+    const int failure = ::posix_fallocate(number(), 0, static_cast<off_t>(bytes));
+    if (failure != 0) {
+      return systemError("allocate " + path_, failure);
+    }
+    // The size is part of what fdatasync must find later: make it durable once, here.
+    if (::fsync(number()) != 0) {
+      return systemError("sync " + path_, errno);
+    }
+    return okStatus();
+  }
+
+  Status truncate(std::uint64_t bytes) override {
+    if (::ftruncate(number(), static_cast<off_t>(bytes)) != 0) {
+      return systemError("truncate " + path_, errno);
+    }
+    return okStatus();
+  }
+
   Status writeAt(std::uint64_t offset, std::string_view data) override {
     while (!data.empty()) {
       const ssize_t count = ::pwrite(number(), data.data(), data.size(), offset);
@@ -132,13 +151,9 @@
     return systemError("open " + path, errno);
   }
   auto file = std::make_unique<PosixFile>(path, number);
-  const int failure = ::posix_fallocate(number, 0, bytes);
-  if (failure != 0) {
-    return systemError("allocate " + path, failure);
-  }
-  // The size is part of what fdatasync must find later: make it durable once, here.
-  if (::fsync(number) != 0) {
-    return systemError("sync " + path, errno);
+  const Status allocated = file->allocate(bytes);
+  if (!allocated) {
+    return allocated.error();
   }
   return std::unique_ptr<File>(std::move(file));
 }
--- a/src/storage/record_ring.cpp
+++ b/src/storage/record_ring.cpp
@@ -26,6 +26,10 @@
     if (turn == knobs_.fileCount) {
       return makeError(ErrorCode::StorageFull, "no file has room for the group");
     }
+    const Status allocated = allocateFile((fileSequence_ + 1) % knobs_.fileCount);
+    if (!allocated) {
+      return allocated;
+    }
     const Status rotated = rotate();
     if (!rotated) {
       return poison(rotated.error());
@@ -161,6 +165,15 @@
   return okStatus();
 }
 
+Status RecordRing::allocateFile(std::uint64_t slot) {
+  if (allocated_[slot]) {
+    return okStatus();
+  }
+  const Status allocated = files_[slot]->allocate(knobs_.fileBytes);
+  allocated_[slot] = static_cast<bool>(allocated);
+  return allocated;
+}
+
 Status RecordRing::rotate() {
   // The only step that overwrites records. What the spare file held was written forward into the
   // active file at the latest rotation; once the active file is synced, the spare is needed no
--- a/src/storage/record_ring.h
+++ b/src/storage/record_ring.h
@@ -1,6 +1,9 @@
 /// @file
 /// The node's durable records in a ring of preallocated files.
 ///
+/// A file gets its full size before its first use, so that a ring takes no more of the disk than it
+/// has ever needed, and the disk can't run out in the middle of a file.
+///
 /// Records are appended to the active file. When it is full it is synced, the next file in the
 /// ring gets a new header, and the live records of the then oldest file are written forward as the
 /// first record of the new one. The oldest file is overwritten at the next turn only, after that
@@ -97,6 +100,7 @@
   Status openFiles(FileSystem& files);
   Status recover(RandomEngine& random);
   Status create(RandomEngine& random);
+  Status checkDiskHasRoom();
   Result<std::vector<std::optional<FileHeader>>> readHeaders() const;
   Status checkKnobs(const std::vector<std::optional<FileHeader>>& headers) const;
   Status finishCreation(const std::vector<std::optional<FileHeader>>& headers);
@@ -111,6 +115,8 @@
   Status poison(const Error& error);
   Status checkRoom(const std::vector<Mutation>& mutations);
   Status rotate();
+  /// Gives the file its full size, once. Changes nothing else.
+  Status allocateFile(std::uint64_t slot);
   Status writeFileHeader(std::uint64_t slot, std::uint64_t fileSequence,
                          std::uint64_t firstSequence);
   Status forwardOldest();
@@ -128,6 +134,7 @@
   std::string storeId_;
   std::unique_ptr<FileLock> lock_;
   std::vector<std::unique_ptr<File>> files_;
+  std::vector<bool> allocated_;  ///< By slot: known to have its full size.
 
   /// Guards the write position and the sequences. Not held by readers, nor during `sync`'s
   /// fdatasync.
--- a/src/storage/ring_recovery.cpp
+++ b/src/storage/ring_recovery.cpp
@@ -93,11 +93,13 @@
   }
   lock_ = std::move(lock).value();
   for (std::uint32_t slot = 0; slot < knobs_.fileCount; ++slot) {
-    auto opened = files.openPreallocated(folder_ + "/" + fileName(slot), knobs_.fileBytes);
+    // The rest of a file is allocated when it is used first.
+    auto opened = files.openPreallocated(folder_ + "/" + fileName(slot), kFirstRecordOffset);
     if (!opened) {
       return opened.error();
     }
     files_.push_back(std::move(opened).value());
+    allocated_.push_back(false);
   }
   // Before any record: a file whose name is lost takes its records with it.
   return files.syncFolder(folder_);
@@ -165,11 +167,36 @@
       return corrupt("the file in use lost its header in " + folder_);
     }
   }
+  const Status checked = checkDiskHasRoom();
+  if (!checked) {
+    return checked;
+  }
   storeId_ = randomStoreId(random);
   fileSequence_ = 1;
   return writeFileHeader(1, 1, nextSequence_);
 }
 
+/// A disk that is too small is refused now, not when the ring has grown.
+Status RecordRing::checkDiskHasRoom() {
+  for (std::uint64_t slot = 0; slot < files_.size(); ++slot) {
+    const Status allocated = allocateFile(slot);
+    if (!allocated) {
+      return allocated;
+    }
+  }
+  for (std::uint64_t slot = 0; slot < files_.size(); ++slot) {
+    if (slot == 1) {
+      continue;  // The one that is used first.
+    }
+    allocated_[slot] = false;
+    const Status cut = files_[slot]->truncate(kFirstRecordOffset);
+    if (!cut) {
+      return cut;
+    }
+  }
+  return okStatus();
+}
+
 /// Gives the other files headers that say "not used yet", unless the store already holds records:
 /// all headers were there before the first record, so that a lost file is told from an unused one.
 Status RecordRing::finishCreation(const std::vector<std::optional<FileHeader>>& headers) {
