Batch: log why an item ended without an answer, attempt by attempt

Change: each attempt of an item (engine, connection, exchange on it, status or error, request id) is reported to the runner of its batch, on both request paths. The event ItemFailed lists them with batch, position, run epoch and attempt; batch_items_failed_total and two counters of mismatched answers count them. Connections to engines get a number within their process. No decision changes.

--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -4,6 +4,7 @@
 
 #include "batch/batch_messages.h"
 #include "batch/item_admission.h"
+#include "batch/item_history.h"
 #include "batch/waiting_items.h"
 #include "partition/partition_store.h"
 
@@ -50,12 +51,12 @@
   bool stopped = false;            ///< Cancelled: no new starts; running items are finished.
   bool ended = false;              ///< Fenced or finished: only reports outstanding results.
   WaitingItems waiting;
-  std::map<std::uint64_t, ItemAttempt> items;                ///< By position.
-  std::map<std::uint64_t, std::uint32_t> engineCallsByItem;  ///< Number of calls by position.
-  std::map<std::string, ItemAdmission> admissions;           ///< By model.
-  std::uint64_t fetchFrom = 0;                               ///< Position of the next page.
-  std::optional<Time> fetchSent;                             ///< Set while a page is in flight.
-  Time nextPass{};  ///< Earliest time of the next first page.
+  std::map<std::uint64_t, ItemAttempt> items;       ///< By position.
+  std::map<std::uint64_t, ItemHistory> histories;   ///< By position; of items that were called.
+  std::map<std::string, ItemAdmission> admissions;  ///< By model.
+  std::uint64_t fetchFrom = 0;                      ///< Position of the next page.
+  std::optional<Time> fetchSent;                    ///< Set while a page is in flight.
+  Time nextPass{};                                  ///< Earliest time of the next first page.
 };
 
 }  // namespace shedshed
--- a/src/batch/item_executor.cpp
+++ b/src/batch/item_executor.cpp
@@ -158,7 +158,7 @@
     finishItem(key, run, position, ItemState::Failed, {}, ErrorCode::InvalidArgument);
     return;
   }
-  ++run.engineCallsByItem[position];
+  run.histories[position].callStarted();
   EngineCall call;
   call.requestId = key.first + "-" + std::to_string(position) + "-" + std::to_string(key.second) +
                    "-" + std::to_string(item.attempt);
@@ -171,6 +171,11 @@
     return current != nullptr && runs_.mayStart(*current);
   };
   const std::uint64_t attempt = item.attempt;
+  call.onAttempt = [this, key, position](const EngineAttempt& made) {
+    if (BatchRun* current = runs_.find(key)) {
+      current->histories[position].add(made);
+    }
+  };
   engines_.run(std::move(call), [this, key, position, attempt](Result<EngineAnswer> answer) {
     onAnswer(key, position, attempt, std::move(answer));
   });
@@ -202,12 +207,12 @@
   }
   if (error.ran == Ran::No) {
     run.admissions[run.items[position].model].pause(context_.now() + options_.retryDelay);
-    --run.engineCallsByItem[position];
+    run.histories[position].callNotRun();
     revertStart(key, run, position, false);
     return;
   }
   if (run.assignment.idempotent &&
-      run.engineCallsByItem[position] < options_.maxEngineCallsPerItem) {
+      run.histories[position].calls() < options_.maxEngineCallsPerItem) {
     revertStart(key, run, position, true);
     return;
   }
@@ -225,11 +230,25 @@
   finish.body = std::move(body);
   if (state != ItemState::Done) {
     finish.errorType = std::string(errorTypeName(code));
+    logFailedItem(finish, run.histories[position]);
   }
-  run.engineCallsByItem.erase(position);
+  run.histories.erase(position);
   report(run, item, encodeMessage(finish));
 }
 
+void ItemExecutor::logFailedItem(const FinishItem& finish, const ItemHistory& history) {
+  context_.counters().add("batch_items_failed_total");
+  context_.logEvent(TraceEvent("ItemFailed")
+                        .field("batch", finish.run.batchId)
+                        .field("position", finish.position)
+                        .field("request_id", history.requestId())
+                        .field("run_epoch", finish.run.runEpoch)
+                        .field("attempt", finish.attempt)
+                        .field("error", finish.errorType)
+                        .field("engine_calls", history.calls())
+                        .field("answers", history.text()));
+}
+
 void ItemExecutor::revertStart(const RunKey& key, BatchRun& run, std::uint64_t position,
                                bool mayHaveRun) {
   ItemAttempt& item = run.items[position];
--- a/src/batch/item_executor.h
+++ b/src/batch/item_executor.h
@@ -56,6 +56,9 @@
   void onEngineError(const RunKey& key, BatchRun& run, std::uint64_t position, const Error& error);
   void finishItem(const RunKey& key, BatchRun& run, std::uint64_t position, ItemState state,
                   std::string body, ErrorCode code);
+  /// Logs why an item has ended without an answer: its engine calls in this run, attempt by
+  /// attempt.
+  void logFailedItem(const FinishItem& finish, const ItemHistory& history);
   /// Reports that the item may run again. @p mayHaveRun is true if the attempt may have reached an
   /// engine.
   void revertStart(const RunKey& key, BatchRun& run, std::uint64_t position, bool mayHaveRun);
--- a/src/engines/engine_runner.h
+++ b/src/engines/engine_runner.h
@@ -4,11 +4,22 @@
 
 #include "kernel/error.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
 namespace shedshed {
 
+/// One attempt to run a call on one engine, for logs.
+struct EngineAttempt {
+  std::string requestId;         ///< As sent to the engine.
+  std::string engine;            ///< Id of the engine; empty if none was ready.
+  std::uint64_t connection = 0;  ///< Number of the connection in this process; 0 if none was open.
+  std::uint32_t exchange = 0;    ///< Number of the exchange on that connection, from 1.
+  int status = 0;                ///< HTTP status of a complete response; 0 without one.
+  std::string error;             ///< Type of the error if there is no complete response.
+};
+
 /// One batch item's call.
 struct EngineCall {
   std::string requestId;  ///< Sent to the engine, which must echo it.
@@ -18,6 +29,8 @@
   std::string suggestedEngine;  ///< Engine that the owner of the item's slot suggests, or empty.
   /// False once the item must no longer be sent to an engine; called on the core thread.
   std::function<bool()> isWanted = [] { return true; };
+  /// Called on the core thread after each attempt, before `done`.
+  std::function<void(const EngineAttempt&)> onAttempt = [](const EngineAttempt&) {};
 };
 
 /// A complete response.
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -130,7 +130,16 @@
     rejected.noEngineLeft = true;
     return rejected;
   }
-  const EngineChoice& engine = choice.value();
+  UpstreamAttempt attempt =
+      attemptAt(choice.value(), forwarded, call, attemptedEngines, idleTimeout, yield);
+  attempt.engine = choice.value().id;
+  return attempt;
+}
+
+UpstreamAttempt Forwarder::attemptAt(const EngineChoice& engine, ForwardedCall& forwarded,
+                                     const OpaqueCall& call,
+                                     std::set<std::string>& attemptedEngines, Duration idleTimeout,
+                                     boost::asio::yield_context yield) {
   attemptedEngines.insert(engine.id);
   const InFlight inFlight(loadBalancer_, engine.id);
   journal_->record(call.requestId, "engine", engine.id);
@@ -145,6 +154,8 @@
     }
     UpstreamAttempt attempt =
         exchange(forwarded, call, engine, *connection.value(), idleTimeout, yield);
+    attempt.connection = connection.value()->history().number();
+    attempt.exchange = connection.value()->history().exchanges();
     const bool stale = pooled && attempt.outcome == AttemptOutcome::Rejected &&
                        attempt.error.code == ErrorCode::EngineFailed;
     if (stale) {
@@ -208,6 +219,9 @@
     return;
   }
   journal_->record(call.requestId, "engine failed", engine.id + ": " + attempt.error.detail);
+  if (attempt.error.code == ErrorCode::ResponseMismatch) {
+    counters_.add("gateway_engine_mismatched_answers_total", 1);
+  }
   if (attempt.error.code != ErrorCode::Cancelled) {
     loadBalancer_.onFailed(engine.id, core_.now());
     counters_.add("gateway_engine_failures_total", 1);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -65,6 +65,11 @@
  private:
   class InFlight;
 
+  /// `attempt` at the chosen engine.
+  UpstreamAttempt attemptAt(const EngineChoice& engine, ForwardedCall& forwarded,
+                            const OpaqueCall& call, std::set<std::string>& attemptedEngines,
+                            Duration idleTimeout, boost::asio::yield_context yield);
+
   Result<std::unique_ptr<UpstreamConnection>> acquireConnection(const EngineChoice& engine,
                                                                 ForwardedCall& forwarded,
                                                                 bool& pooled,
--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -36,6 +36,22 @@
   return {};
 }
 
+EngineAttempt describeAttempt(const OpaqueCall& call, const UpstreamAttempt& attempt) {
+  EngineAttempt described;
+  described.requestId = call.requestId;
+  described.engine = attempt.engine;
+  described.connection = attempt.connection;
+  described.exchange = attempt.exchange;
+  if (attempt.outcome == AttemptOutcome::Answered) {
+    described.status = attempt.head.status;
+  } else if (attempt.outcome == AttemptOutcome::Streamed) {
+    described.status = kOk;
+  } else {
+    described.error = errorTypeName(attempt.error.code);
+  }
+  return described;
+}
+
 /// Collects the data of a stream's events.
 class EventDataSink : public StreamSink {
  public:
@@ -123,6 +139,9 @@
   while (rejections < kMaxRejections && failedAttempts < kMaxFailures && call.isWanted()) {
     const UpstreamAttempt attempt =
         services_.forwarder.attempt(forwarded, opaque, attemptedEngines, kIdleTimeout, yield);
+    if (!attempt.engine.empty()) {
+      call.onAttempt(describeAttempt(opaque, attempt));
+    }
     if (attempt.outcome == AttemptOutcome::Streamed) {
       return EngineAnswer{kOk, sink.take()};
     }
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -26,6 +26,9 @@
   std::string body;              ///< Of `Answered`.
   bool responseStarted = false;  ///< Of `Failed`: bytes of a stream went to the sink.
   std::string lastEventId;       ///< Of `Failed`: id of the last complete event sent to the sink.
+  std::string engine;            ///< Id of the engine; empty if none was ready.
+  std::uint64_t connection = 0;  ///< Number of the connection; 0 if none was open.
+  std::uint32_t exchange = 0;    ///< Number of the exchange on the connection, from 1.
 };
 
 /// Returns an attempt that no engine ran: nothing was sent, or the engine reported "not run".
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -121,6 +121,7 @@
                                 Duration timeLeft, CallAbort& abort, const ServingStrand& strand,
                                 net::yield_context yield) {
   responseComplete_ = false;
+  history_.recordExchange();
   if (abort.aborted()) {
     return makeError(ErrorCode::Cancelled, "the client has disconnected", Ran::No);
   }
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -6,6 +6,7 @@
 #include "gateway/opaque_call.h"
 #include "kernel/error.h"
 #include "serving/call_abort.h"
+#include "serving/connection_history.h"
 #include "serving/serving_threads.h"
 #include "serving/socket_deadline.h"
 
@@ -61,6 +62,8 @@
   /// Returns true if the last response was complete and the connection may carry another call.
   bool reusable();
 
+  const ConnectionHistory& history() const { return history_; }
+
   /// Time for which the engine keeps an idle connection open; a default if it sent no `Keep-Alive`.
   Duration keepAlive() const { return keepAlive_; }
 
@@ -74,6 +77,7 @@
                 const CallAbort& abort) const;
 
   const HeaderNames& names_;
+  ConnectionHistory history_;
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
--- a/src/serving/engine_calls.cpp
+++ b/src/serving/engine_calls.cpp
@@ -81,6 +81,9 @@
   request.model = call.model;
   request.body = std::move(body.value());
   request.prompt = std::move(chat.value().prompt);
+  request.onAttempt = [this, onAttempt = call.onAttempt](const EngineAttempt& attempt) {
+    core_.post([onAttempt, attempt] { onAttempt(attempt); });
+  };
   const auto tree = settings_.read();
   if (tree != nullptr) {
     request.loadBound = tree->effective({}, kBatchRoute).routingLoadBound;
--- a/src/serving/engine_client.cpp
+++ b/src/serving/engine_client.cpp
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr const char* kChatTarget = "/v1/chat/completions";
+constexpr int kOk = 200;
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 
@@ -49,6 +50,7 @@
   CallAbort& abort;
   const ServingStrand& strand;
   bool forwarded = false;  ///< Part of the answer may have reached the caller.
+  EngineAttempt last;      ///< The attempt that was made last.
 };
 
 Result<EngineAnswer> EngineClient::run(const EngineRequest& request, EventSink* sink,
@@ -67,8 +69,16 @@
     journal_->record(request.requestId, "engine", engine.value().engine);
     query.excluded.insert(engine.value().engine);
     InFlightCall inFlight(router_, core_, engine.value().engine);
+    call.last = {};
+    call.last.requestId = request.requestId;
+    call.last.engine = engine.value().engine;
     Result<EngineAnswer> result = attempt(call, engine.value(), yield);
     inFlight.setOutcome(result);
+    call.last.error = result ? std::string() : std::string(errorTypeName(result.error().code));
+    if (result.has_error() && result.error().code == ErrorCode::ResponseMismatch) {
+      counters_.add("serving_engine_mismatched_answers_total", 1);
+    }
+    request.onAttempt(call.last);
     if (result) {
       return result;
     }
@@ -104,6 +114,8 @@
   }
   Result<EngineAnswer> result = call.sink == nullptr ? exchangeWhole(call, *opened.value(), yield)
                                                      : exchangeStream(call, *opened.value(), yield);
+  call.last.connection = opened.value()->history().number();
+  call.last.exchange = opened.value()->history().exchanges();
   if (result) {
     connectionPool_.release(engine.address, std::move(opened.value()), core_.now());
   }
@@ -138,6 +150,7 @@
   if (!finished) {
     return finished.error();
   }
+  call.last.status = reader.status();
   return toEngineAnswer(reader);
 }
 
@@ -152,10 +165,11 @@
   if (!finished) {
     return finished.error();
   }
+  call.last.status = reader.refused() ? reader.refusal().status() : kOk;
   if (reader.refused()) {
     return toEngineAnswer(reader.refusal());
   }
-  return EngineAnswer{200, {}};
+  return EngineAnswer{kOk, {}};
 }
 
 }  // namespace shedshed
--- a/src/serving/engine_client.h
+++ b/src/serving/engine_client.h
@@ -12,6 +12,7 @@
 #include "serving/router.h"
 #include "serving/serving_counters.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -31,6 +32,8 @@
   std::vector<BlockHash> prompt;
   double loadBound = 1.25;
   bool repeatable = false;  ///< May be retried after a failure.
+  /// Called after each attempt, on the strand of the call.
+  std::function<void(const EngineAttempt&)> onAttempt = [](const EngineAttempt&) {};
 };
 
 /// Routes calls to engines and runs them. Thread-safe; must be called from a coroutine.
--- a/src/serving/engine_connection.cpp
+++ b/src/serving/engine_connection.cpp
@@ -114,6 +114,7 @@
                                   const EngineTimeouts& timeouts, CallAbort& abort,
                                   const ServingStrand& strand, net::yield_context yield) {
   exchangeComplete_ = false;
+  history_.recordExchange();
   if (abort.aborted()) {
     Error error = abortedError();
     error.ran = Ran::No;
--- a/src/serving/engine_connection.h
+++ b/src/serving/engine_connection.h
@@ -5,6 +5,7 @@
 #include "kernel/error.h"
 #include "kernel/time.h"
 #include "serving/call_abort.h"
+#include "serving/connection_history.h"
 #include "serving/serving_threads.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -68,12 +69,15 @@
   /// engine has neither closed the connection nor sent further bytes.
   bool reusable();
 
+  const ConnectionHistory& history() const { return history_; }
+
   void close();
 
  private:
   /// Returns true if the connection is open and no input is waiting.
   bool hasNoUnreadInput();
 
+  ConnectionHistory history_;
   boost::asio::ip::tcp::socket socket_;
   bool exchangeComplete_ = true;
 };
--- a/tests/core_harness.h
+++ b/tests/core_harness.h
@@ -69,7 +69,7 @@
   void persist(PersistId id, std::vector<Mutation> mutations) override;
   const RecordReader& records() const override;
   Counters& counters() override;
-  void logEvent(const TraceEvent&) override {}
+  void logEvent(const TraceEvent& event) override;
   void defer(std::function<void()> task) override;
 
   std::map<TimerId, Time> timers;
@@ -187,6 +187,7 @@
   std::map<std::string, MemoryRecords> records;
   std::map<std::string, MemoryRecords> synced;  ///< What a crash leaves of `records`.
   MapCounters counters;
+  std::vector<std::string> events;  ///< Logged by any node, in order.
   /// Return false to drop a message.
   std::function<bool(const Envelope&)> filter = [](const Envelope&) { return true; };
 
@@ -246,6 +247,9 @@
 inline Counters& HarnessContext::counters() {
   return harness_.counters;
 }
+inline void HarnessContext::logEvent(const TraceEvent& event) {
+  harness_.events.push_back(event.text());
+}
 inline void HarnessContext::defer(std::function<void()> task) {
   harness_.deferred.push_back(std::move(task));
 }
--- /dev/null
+++ b/tests/gateway/item_runner_fixture.h
@@ -0,0 +1,82 @@
+/// The runner of opaque batch items with one scripted engine on loopback.
+#pragma once
+
+#include "gateway/item_runner.h"
+#include "gateway_fakes.h"
+#include "kernel/message.h"
+#include "scripted_engine.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace shedshed::test {
+
+inline constexpr const char* kItem = "item-1";
+
+/// One engine of the service "s" and the batch route "r" with three attempts.
+struct ItemRunnerFixture {
+  ItemRunnerFixture() {
+    EngineInfo info;
+    info.id = "e0";
+    info.address = engine.address();
+    info.model = "s";
+    info.state = EngineState::Ready;
+    table.engines->engines.push_back(info);
+    publishRoute("r", 3);
+  }
+
+  void publishRoute(const std::string& name, int maxAttempts) {
+    const std::string json = R"({"services":{"s":{}},"routes":{")" + name +
+                             R"(":{"host":"h","path_prefix":"/b/","kind":"batch",)"
+                             R"("timeout_ms":5000,"max_attempts":)" +
+                             std::to_string(maxAttempts) + R"(,"service":"s"}}})";
+    auto tree = SettingsTree::parse(json);
+    BOOST_REQUIRE_MESSAGE(tree, "the settings were rejected");
+    settings.publish(std::make_shared<SettingsTree>(std::move(tree.value())));
+  }
+
+  static std::string itemBody() {
+    BatchItemCall item;
+    item.name = kItem;
+    item.route = "r";
+    item.service = "s";
+    item.host = "h";
+    item.target = "/b/1";
+    return encodeRecord(item);
+  }
+
+  /// Runs the item once, as one call of the batch runner.
+  Result<EngineAnswer> run() {
+    EngineCall call;
+    call.model = "s";
+    call.body = itemBody();
+    call.onAttempt = [this](const EngineAttempt& attempt) { attempts.push_back(attempt); };
+    std::optional<Result<EngineAnswer>> result;
+    items.run(std::move(call),
+              [&result](Result<EngineAnswer> answer) { result.emplace(std::move(answer)); });
+    while (!result && loop.run_one_for(std::chrono::seconds(20)) > 0) {
+    }
+    BOOST_REQUIRE(result.has_value());
+    return std::move(*result);
+  }
+
+  ServingIoContext loop;
+  HeaderNames names;
+  ScriptedEngine engine{loop, names};
+  FixedEngines table;
+  SteadyExecutor executor;
+  NoCounters counters;
+  RandomEngine random{3};
+  CostLoadBalancer loadBalancer{"", random};
+  Forwarder forwarder{loop, executor, table, loadBalancer, counters, names};
+  Snapshot<SettingsTree> settings{nullptr};
+  FakeConfiguration configuration;
+  NoDirectory directory;
+  NoSlots slots;
+  NoBatches batches;
+  GatewayServices services{loop,  executor, settings,  configuration, directory, table,
+                           slots, batches,  forwarder, counters,      names,     Time{}};
+  OpaqueItemRunner items{services};
+  std::vector<EngineAttempt> attempts;
+};
+
+}  // namespace shedshed::test
