Upstream: a connection carries each request id at most once

What callers saw: an item of an open batch listed as failed although no engine had answered 500 as often as its route allows. Cause: a batch item is sent again with the same request id, and took the pooled connection on which its 500 had come. An engine that answers twice, the second time late, puts the second 500 in the place of the answer to the new request; the id, which tells such answers apart, is the same. One failure counted twice. Class: an answer is attributed to a request by an id that is not unique on its connection. The list of idle connections stood twice and is one template now. serving: ids there are drawn per call and a call never returns to an engine, so the fault could not occur; an_answer_that_an_engine_sends_twice_... holds it.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -171,7 +171,8 @@
 Result<std::unique_ptr<UpstreamConnection>>
 Forwarder::acquireConnection(const EngineChoice& engine, ForwardedCall& forwarded, bool& pooled,
                              boost::asio::yield_context yield) {
-  std::unique_ptr<UpstreamConnection> idle = pool_.acquire(engine.id, core_.now());
+  std::unique_ptr<UpstreamConnection> idle =
+      pool_.acquire(engine.id, forwarded.call.requestId, core_.now());
   pooled = idle != nullptr;
   if (pooled) {
     return idle;
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -121,7 +121,7 @@
                                 Duration timeLeft, CallAbort& abort, const ServingStrand& strand,
                                 net::yield_context yield) {
   responseComplete_ = false;
-  history_.recordExchange();
+  history_.recordExchange(call.requestId);
   if (abort.aborted()) {
     return makeError(ErrorCode::Cancelled, "the client has disconnected", Ran::No);
   }
@@ -216,7 +216,7 @@
 }
 
 bool UpstreamConnection::reusable() {
-  if (!responseComplete_ || !socket_.is_open()) {
+  if (!responseComplete_ || !socket_.is_open() || history_.isExhausted()) {
     return false;
   }
   char byte = 0;
--- a/src/gateway/upstream_connection_pool.cpp
+++ b/src/gateway/upstream_connection_pool.cpp
@@ -13,29 +13,17 @@
 
 }  // namespace
 
-std::unique_ptr<UpstreamConnection> UpstreamConnectionPool::acquire(const std::string& engine,
-                                                                    Time now) {
+std::unique_ptr<UpstreamConnection>
+UpstreamConnectionPool::acquire(const std::string& engine, const std::string& requestId, Time now) {
   const auto found = idle_.find(engine);
-  if (found == idle_.end()) {
-    return nullptr;
-  }
-  std::vector<Idle>& connections = found->second;
-  while (!connections.empty()) {
-    Idle newest = std::move(connections.back());
-    connections.pop_back();
-    if (now < newest.expiresAt && newest.connection->reusable()) {
-      return std::move(newest.connection);
-    }
-  }
-  return nullptr;
+  return found == idle_.end() ? nullptr : found->second.take(requestId, now);
 }
 
 void UpstreamConnectionPool::release(const std::string& engine,
                                      std::unique_ptr<UpstreamConnection> connection, Time now) {
   const Time expiresAt = now + connection->keepAlive() - kKeepAliveMargin;
-  std::vector<Idle>& connections = idle_[engine];
-  if (expiresAt > now && connections.size() < kMaxIdleConnections && connection->reusable()) {
-    connections.push_back({std::move(connection), expiresAt});
+  if (expiresAt > now) {
+    idle_[engine].add(std::move(connection), expiresAt, kMaxIdleConnections);
   }
 }
 
--- a/src/gateway/upstream_connection_pool.h
+++ b/src/gateway/upstream_connection_pool.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/upstream_connection.h"
+#include "serving/idle_connections.h"
 
 #include <map>
 #include <memory>
@@ -14,8 +15,10 @@
 /// Idle connections, by engine id. Core thread only.
 class UpstreamConnectionPool {
  public:
-  /// Returns the most recently used connection that may be reused, or null.
-  std::unique_ptr<UpstreamConnection> acquire(const std::string& engine, Time now);
+  /// Returns the most recently used connection that may carry a call with the id @p requestId, or
+  /// null.
+  std::unique_ptr<UpstreamConnection> acquire(const std::string& engine,
+                                              const std::string& requestId, Time now);
 
   /// Retains @p connection if it may be reused, else closes it.
   void release(const std::string& engine, std::unique_ptr<UpstreamConnection> connection, Time now);
@@ -24,11 +27,7 @@
   void keepOnly(const std::vector<std::string>& engines);
 
  private:
-  struct Idle {
-    std::unique_ptr<UpstreamConnection> connection;
-    Time expiresAt;
-  };
-  std::map<std::string, std::vector<Idle>> idle_;
+  std::map<std::string, IdleConnections<UpstreamConnection>> idle_;
 };
 
 }  // namespace shedshed
--- a/src/serving/engine_client.cpp
+++ b/src/serving/engine_client.cpp
@@ -124,7 +124,7 @@
 
 Result<std::unique_ptr<EngineConnection>>
 EngineClient::connection(Call& call, const RouteChoice& engine, boost::asio::yield_context yield) {
-  auto pooled = connectionPool_.acquire(engine.address, core_.now());
+  auto pooled = connectionPool_.acquire(engine.address, call.request.requestId, core_.now());
   if (pooled != nullptr) {
     return pooled;
   }
--- a/src/serving/engine_connection.cpp
+++ b/src/serving/engine_connection.cpp
@@ -114,7 +114,7 @@
                                   const EngineTimeouts& timeouts, CallAbort& abort,
                                   const ServingStrand& strand, net::yield_context yield) {
   exchangeComplete_ = false;
-  history_.recordExchange();
+  history_.recordExchange(request.requestId);
   if (abort.aborted()) {
     Error error = abortedError();
     error.ran = Ran::No;
@@ -181,7 +181,7 @@
 }
 
 bool EngineConnection::reusable() {
-  return exchangeComplete_ && socket_.is_open() && hasNoUnreadInput();
+  return exchangeComplete_ && socket_.is_open() && !history_.isExhausted() && hasNoUnreadInput();
 }
 
 bool EngineConnection::hasNoUnreadInput() {
--- a/src/serving/engine_connection_pool.cpp
+++ b/src/serving/engine_connection_pool.cpp
@@ -2,23 +2,15 @@
 
 namespace shedshed {
 
-std::unique_ptr<EngineConnection> EngineConnectionPool::acquire(const std::string& address,
-                                                                Time now) {
+std::unique_ptr<EngineConnection>
+EngineConnectionPool::acquire(const std::string& address, const std::string& requestId, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = idle_.find(address);
   if (found == idle_.end()) {
     return nullptr;
   }
-  std::unique_ptr<EngineConnection> connection;
-  std::vector<Idle>& connections = found->second;
-  while (connection == nullptr && !connections.empty()) {
-    Idle newest = std::move(connections.back());
-    connections.pop_back();
-    if (now - newest.idleSince <= kMaxIdleTime && newest.connection->reusable()) {
-      connection = std::move(newest.connection);
-    }
-  }
-  if (connections.empty()) {
+  std::unique_ptr<EngineConnection> connection = found->second.take(requestId, now);
+  if (found->second.empty()) {
     idle_.erase(found);
   }
   return connection;
@@ -26,14 +18,8 @@
 
 void EngineConnectionPool::release(const std::string& address,
                                    std::unique_ptr<EngineConnection> connection, Time now) {
-  if (!connection->reusable()) {
-    return;
-  }
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<Idle>& connections = idle_[address];
-  if (connections.size() < kMaxIdlePerEngine) {
-    connections.push_back({std::move(connection), now});
-  }
+  idle_[address].add(std::move(connection), now + kMaxIdleTime, kMaxIdlePerEngine);
 }
 
 }  // namespace shedshed
--- a/src/serving/engine_connection_pool.h
+++ b/src/serving/engine_connection_pool.h
@@ -4,6 +4,7 @@
 
 #include "kernel/time.h"
 #include "serving/engine_connection.h"
+#include "serving/idle_connections.h"
 
 #include <map>
 #include <memory>
@@ -24,19 +25,17 @@
 /// Keeps connections between exchanges. Thread-safe.
 class EngineConnectionPool {
  public:
-  /// Returns a reusable connection to @p address, or null.
-  std::unique_ptr<EngineConnection> acquire(const std::string& address, Time now);
+  /// Returns a reusable connection to @p address that may carry a request with the id
+  /// @p requestId, or null.
+  std::unique_ptr<EngineConnection> acquire(const std::string& address,
+                                            const std::string& requestId, Time now);
 
   /// Keeps @p connection if it may be reused; closes it otherwise.
   void release(const std::string& address, std::unique_ptr<EngineConnection> connection, Time now);
 
  private:
-  struct Idle {
-    std::unique_ptr<EngineConnection> connection;
-    Time idleSince;
-  };
   std::mutex mutex_;
-  std::map<std::string, std::vector<Idle>> idle_;
+  std::map<std::string, IdleConnections<EngineConnection>> idle_;
 };
 
 }  // namespace shedshed
--- a/tests/gateway/item_runner_fixture.h
+++ b/tests/gateway/item_runner_fixture.h
@@ -34,9 +34,9 @@
     settings.publish(std::make_shared<SettingsTree>(std::move(tree.value())));
   }
 
-  static std::string itemBody() {
+  static std::string itemBody(const std::string& name) {
     BatchItemCall item;
-    item.name = kItem;
+    item.name = name;
     item.route = "r";
     item.service = "s";
     item.host = "h";
@@ -44,11 +44,11 @@
     return encodeRecord(item);
   }
 
-  /// Runs the item once, as one call of the batch runner.
-  Result<EngineAnswer> run() {
+  /// Runs an item once, as one call of the batch runner.
+  Result<EngineAnswer> run(const std::string& name = kItem) {
     EngineCall call;
     call.model = "s";
-    call.body = itemBody();
+    call.body = itemBody(name);
     call.onAttempt = [this](const EngineAttempt& attempt) { attempts.push_back(attempt); };
     std::optional<Result<EngineAnswer>> result;
     items.run(std::move(call),
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -29,4 +29,33 @@
   BOOST_TEST(fixture.run().value().status == 422);
 }
 
+// Regression: an engine that answers a request twice, the second time late.
+BOOST_AUTO_TEST_CASE(item_listed_as_failed_after_a_500_that_was_answered_twice) {
+  ItemRunnerFixture fixture;
+  fixture.publishRoute("r", 2);
+  fixture.engine.script = {{500, "", false, false, true}, {200}};
+  const auto answer = fixture.run();
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer.value().status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_carries_an_item_once_and_other_items_after_it) {
+  ItemRunnerFixture fixture;
+  BOOST_REQUIRE(fixture.run("item-1").has_value());
+  BOOST_REQUIRE(fixture.run("item-2").has_value());
+  BOOST_REQUIRE(fixture.run("item-1").has_value());
+  BOOST_REQUIRE(fixture.engine.received.size() == 3U);
+  BOOST_TEST(fixture.engine.received[1].connection == fixture.engine.received[0].connection);
+  BOOST_TEST(fixture.engine.received[2].connection != fixture.engine.received[0].connection);
+}
+
+BOOST_AUTO_TEST_CASE(a_second_answer_is_never_taken_for_that_of_another_item) {
+  ItemRunnerFixture fixture;
+  fixture.engine.script = {{200, "first", false, false, true}, {200, "second"}, {200, "third"}};
+  BOOST_TEST(fixture.run("item-1").value().body == "first");
+  const auto answer = fixture.run("item-2");
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer.value().body != "first");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/callers_loopback_test.cpp
+++ b/tests/serving/callers_loopback_test.cpp
@@ -62,6 +62,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_an_engine_sends_twice_is_not_given_to_the_next_call) {
+  for (const bool stream : {false, true}) {
+    nextEngine().fail(Fault::RepeatedLate);
+    Caller caller(server.port());
+    const CallerAnswer first = caller.chat(stream);
+    BOOST_TEST(first.status == 200);
+    const CallerAnswer second = caller.chat(stream);
+    BOOST_TEST(second.status == 502);
+    BOOST_TEST(second.has("\"type\":\"response_mismatch\""), second.body);
+    BOOST_TEST(second.has("\"ran\":\"unknown\""), second.body);
+    BOOST_TEST(!second.has(first.requestId), second.body);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_may_not_be_repeated_runs_once) {
   const std::vector<std::pair<Fault, std::string>> cases{
       {Fault::ResetBeforeAnswer, "engine_failed"},   {Fault::TruncatedBody, "response_truncated"},
--- a/tests/serving/fake_engine.h
+++ b/tests/serving/fake_engine.h
@@ -24,6 +24,7 @@
   MissingEndEvent,    // Ends the chunked stream without `[DONE]`.
   MissingLastChunk,   // Sends `[DONE]`, but no last chunk.
   TrailingBytes,      // Sends extra bytes after a complete answer.
+  RepeatedLate,       // Sends the answer again when the next request arrives on the connection.
   NoFraming,          // Neither Content-Length nor chunked encoding.
   ServerError,        // Status 500.
   BadRequest,         // Status 400.
@@ -100,12 +101,17 @@
   }
 
   void serve(Tcp::socket& socket) {
+    std::string surplus;
     boost::beast::flat_buffer buffer;
     boost::system::error_code failed;
     while (!failed) {
       Request request;
       boost::beast::http::read(socket, buffer, request, failed);
-      if (!failed && !answer(socket, request)) {
+      if (!failed && !surplus.empty()) {
+        write(socket, surplus);
+      }
+      surplus.clear();
+      if (!failed && !answer(socket, request, surplus)) {
         return;
       }
     }
@@ -123,7 +129,8 @@
     return fault;
   }
 
-  bool answer(Tcp::socket& socket, const Request& request) {
+  // Sets @p surplus to what is to be sent before the answer to the next request.
+  bool answer(Tcp::socket& socket, const Request& request, std::string& surplus) {
     if (request.target() == "/health") {
       const std::string body = R"({"status":"draining","running":3,"max_running":8,"model":"m"})";
       return write(socket, head(200, "application/json", "x") + lengthOf(body) + body);
@@ -145,10 +152,13 @@
     }
     const std::string id(request["X-Request-Id"]);
     const bool stream = request.body().find("\"stream\":true") != std::string::npos;
+    if (fault == Fault::RepeatedLate) {
+      surplus = stream ? streamText(id, fault) : wholeText(id, fault);
+    }
     return stream ? answerStream(socket, id, fault) : answerWhole(socket, id, fault);
   }
 
-  bool answerWhole(Tcp::socket& socket, const std::string& id, Fault fault) {
+  static std::string wholeText(const std::string& id, Fault fault) {
     const std::string body =
         R"({"id":")" + (fault == Fault::WrongIdInBody ? "crossed-id" : id) + R"(","text":"hi"})";
     const int status = fault == Fault::ServerError ? 500 : (fault == Fault::BadRequest ? 400 : 200);
@@ -157,11 +167,15 @@
     text += fault == Fault::NoFraming ? "\r\n" : lengthOf(body);
     text += fault == Fault::TruncatedBody ? body.substr(0, 5) : body;
     text += fault == Fault::TrailingBytes ? "HTTP/1.1 200 OK\r\n" : "";
+    return text;
+  }
+
+  bool answerWhole(Tcp::socket& socket, const std::string& id, Fault fault) {
     const bool close = fault == Fault::TruncatedBody || fault == Fault::NoFraming;
-    return finish(socket, text, close);
+    return finish(socket, wholeText(id, fault), close);
   }
 
-  bool answerStream(Tcp::socket& socket, const std::string& id, Fault fault) {
+  static std::string streamText(const std::string& id, Fault fault) {
     std::string text =
         head(200, "text/event-stream", fault == Fault::WrongIdInHeader ? "crossed-id" : id) +
         "Transfer-Encoding: chunked\r\n\r\n";
@@ -171,12 +185,17 @@
       text += chunk(R"(data: {"id":")" + (crossed ? "crossed-id" : id) + R"(","n":)" +
                     std::to_string(i) + "}\n\n");
       if (fault == Fault::TruncatedBody && i == 1) {
-        return finish(socket, text, true);
+        return text;
       }
     }
     text += fault == Fault::MissingEndEvent ? "" : chunk("data: [DONE]\n\n");
     text += fault == Fault::MissingLastChunk ? "" : "0\r\n\r\n";
-    return finish(socket, text, fault == Fault::MissingLastChunk);
+    return text;
+  }
+
+  bool answerStream(Tcp::socket& socket, const std::string& id, Fault fault) {
+    const bool close = fault == Fault::TruncatedBody || fault == Fault::MissingLastChunk;
+    return finish(socket, streamText(id, fault), close);
   }
 
   static std::string head(int status, const std::string& type, const std::string& id) {
