Batch: only an answer of 500 counts as a failed attempt of an item

What callers saw: items listed as failed after answers of 404, 502 or 504, or after fewer answers of 500 than their route allows attempts. Cause: OpaqueItemRunner counted every complete answer without success as one of max_attempts. Change: ItemRetryPolicy decides after each attempt, as RetryPolicy does for live requests: 422 and max_attempts answers of 500 fail the item, any other answer is inconclusive, like a broken exchange, and goes to another engine. The answers of 500 are counted over all calls of an item within a run (ItemHistory), so that a call that ends early neither forgets nor adds one. item_listed_as_failed_after_502_504_and_404 failed before (404 instead of 200); answers_of_500_in_earlier_calls_of_the_item_count as well.

--- a/src/batch/item_history.cpp
+++ b/src/batch/item_history.cpp
@@ -3,6 +3,8 @@
 namespace shedshed {
 namespace {
 
+constexpr int kInternalServerError = 500;
+
 std::string describe(const EngineAttempt& attempt) {
   const std::string result = attempt.status != 0 ? std::to_string(attempt.status) : attempt.error;
   if (attempt.connection == 0) {
@@ -16,6 +18,7 @@
 
 void ItemHistory::add(const EngineAttempt& attempt) {
   requestId_ = attempt.requestId;
+  failedAttempts_ += attempt.status == kInternalServerError ? 1 : 0;
   attempts_.push_back(attempt);
   if (attempts_.size() > kMaxAttempts) {
     attempts_.pop_front();
--- a/src/batch/item_history.h
+++ b/src/batch/item_history.h
@@ -27,6 +27,9 @@
   /// Records an attempt of the current call.
   void add(const EngineAttempt& attempt);
 
+  /// Attempts that an engine has answered with 500.
+  std::uint32_t failedAttempts() const { return failedAttempts_; }
+
   /// The request id that engines received; empty before the first attempt.
   const std::string& requestId() const { return requestId_; }
 
@@ -36,6 +39,7 @@
 
  private:
   std::uint32_t calls_ = 0;
+  std::uint32_t failedAttempts_ = 0;
   std::uint64_t dropped_ = 0;  ///< Attempts that are no longer kept.
   std::string requestId_;
   std::deque<EngineAttempt> attempts_;
--- a/src/engines/engine_runner.h
+++ b/src/engines/engine_runner.h
@@ -27,6 +27,7 @@
   std::string body;    ///< As submitted: JSON of a chat completion, or an encoded opaque call.
   std::string tenant;  ///< Tenant that owns the batch.
   std::string suggestedEngine;  ///< Engine that the owner of the item's slot suggests, or empty.
+  std::uint32_t failedAttempts = 0;  ///< Answers of 500 that earlier calls of the item received.
   /// False once the item must no longer be sent to an engine; called on the core thread.
   std::function<bool()> isWanted = [] { return true; };
   /// Called on the core thread after each attempt, before `done`.
--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/call_filters.h"
 #include "gateway/event_splitter.h"
+#include "gateway/item_retry_policy.h"
 #include "kernel/message.h"
 #include "kernel/rendezvous.h"
 
@@ -13,17 +14,9 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kUnprocessable = 422;
-constexpr int kFirstServerError = 500;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 
 /// An attempt is abandoned after this long without data, and the item goes to another engine.
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(2500);
-/// Rejections after which the item is requeued.
-constexpr int kMaxRejections = 3;
-/// Failed attempts after which the item is requeued.
-constexpr int kMaxFailures = 12;
 constexpr std::chrono::milliseconds kRetryBackoff{60};
 constexpr std::size_t kStackBytes = 256U << 10U;
 
@@ -52,6 +45,14 @@
   return described;
 }
 
+/// Waits before an attempt that would otherwise follow a rejection at once.
+void waitForBackoff(const ServingStrand& strand, boost::asio::yield_context yield) {
+  boost::asio::steady_timer backoff(strand);
+  backoff.expires_after(kRetryBackoff);
+  boost::system::error_code ignored;
+  backoff.async_wait(yield[ignored]);
+}
+
 /// Collects the data of a stream's events.
 class EventDataSink : public StreamSink {
  public:
@@ -131,47 +132,41 @@
   EventDataSink sink;
   CallAbort noAbort;
   ForwardedCall forwarded{opaque, sink, noAbort, strand};
+  ItemRetryPolicy retries(opaque.maxAttempts, call.failedAttempts);
   std::set<std::string> attemptedEngines;
-  std::uint32_t failures = 0;
-  int rejections = 0;
-  int failedAttempts = 0;
-  boost::asio::steady_timer backoff(strand);
-  while (rejections < kMaxRejections && failedAttempts < kMaxFailures && call.isWanted()) {
+  while (call.isWanted()) {
     const UpstreamAttempt attempt =
         services_.forwarder.attempt(forwarded, opaque, attemptedEngines, kIdleTimeout, yield);
+    if (attempt.noEngineLeft && !attemptedEngines.empty()) {
+      attemptedEngines.clear();
+      waitForBackoff(strand, yield);
+      continue;
+    }
     if (!attempt.engine.empty()) {
       call.onAttempt(describeAttempt(opaque, attempt));
     }
-    if (attempt.outcome == AttemptOutcome::Streamed) {
-      return EngineAnswer{kOk, sink.take()};
+    const ItemRetryPolicy::Decision decision = retries.onAttempt(attempt);
+    if (decision == ItemRetryPolicy::Decision::Complete) {
+      const bool streamed = attempt.outcome == AttemptOutcome::Streamed;
+      return EngineAnswer{kOk, streamed ? sink.take() : attempt.body};
     }
-    if (attempt.outcome == AttemptOutcome::Answered) {
-      const int status = attempt.head.status;
-      if (status >= kFirstSuccess && status < kFirstRedirect) {
-        return EngineAnswer{kOk, attempt.body};
-      }
-      if (status == kUnprocessable || ++failures >= opaque.maxAttempts) {
-        return EngineAnswer{status, {}};
-      }
-      attemptedEngines.clear();
-      continue;
+    if (decision == ItemRetryPolicy::Decision::Fail) {
+      return EngineAnswer{attempt.head.status, {}};
     }
-    if (attempt.outcome == AttemptOutcome::Failed) {
-      ++failedAttempts;
-      opaque.resumeAfter = attempt.lastEventId.empty() ? opaque.resumeAfter : attempt.lastEventId;
-      continue;
+    if (decision == ItemRetryPolicy::Decision::Requeue) {
+      break;
+    }
+    if (!attempt.lastEventId.empty()) {
+      opaque.resumeAfter = attempt.lastEventId;
     }
-    ++rejections;
-    if (attempt.noEngineLeft) {
+    if (attempt.outcome == AttemptOutcome::Answered && isFailedAttempt(attempt.head.status)) {
       attemptedEngines.clear();
     }
-    boost::system::error_code ignored;
-    backoff.expires_after(kRetryBackoff);
-    backoff.async_wait(yield[ignored]);
+    if (attempt.outcome == AttemptOutcome::Rejected) {
+      waitForBackoff(strand, yield);
+    }
   }
-  return makeError(ErrorCode::NoEngine, "no engine ran the item",
-                   failures + static_cast<std::uint32_t>(failedAttempts) > 0 ? Ran::Unknown
-                                                                             : Ran::No);
+  return makeError(ErrorCode::NoEngine, "no engine ran the item", retries.execution());
 }
 
 }  // namespace shedshed
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -29,6 +29,20 @@
   BOOST_TEST(fixture.run().value().status == 422);
 }
 
+BOOST_AUTO_TEST_CASE(answers_of_500_in_earlier_calls_of_the_item_count) {
+  ItemRunnerFixture fixture;
+  fixture.failedAttempts = 2;
+  fixture.engine.script = {{500}};
+  BOOST_TEST(fixture.run().value().status == 500);
+}
+
+// Regression: any answer without success counted as one of the attempts.
+BOOST_AUTO_TEST_CASE(item_listed_as_failed_after_502_504_and_404) {
+  ItemRunnerFixture fixture;
+  fixture.engine.script = {{502}, {504}, {404}, {200}};
+  BOOST_TEST(fixture.run().value().status == 200);
+}
+
 // Regression: an engine that answers a request twice, the second time late.
 BOOST_AUTO_TEST_CASE(item_listed_as_failed_after_a_500_that_was_answered_twice) {
   ItemRunnerFixture fixture;
