Batch: a front that does not know an item's route yet decides nothing about it

What callers saw: all items of a batch listed as failed within a second of its acceptance, without a request to any engine; or after a single 500. Cause: the front that runs a batch looked the item's route up in its settings of that moment and took an unknown one for removed: no service, so the item failed at once, or one attempt in place of max_attempts. A front may run a batch whose route it has not learned yet: it has just started, was frozen or lags behind the front that accepted the batch. Class: absence in one node's state taken for proof. Change: the route counts as removed only if these settings are proved to have been current at a moment after the assignment of the run, so after the batch was accepted; a newer version then lacks the route. Until then the item stays pending and the next pass fetches it again. A run that has no route no longer falls back to one attempt.

--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -42,7 +42,8 @@
 /// A run that the owner of the batch assigned to this node.
 struct BatchRun {
   AssignRun assignment;
-  Time due{};  ///< When all results are due, if the assignment has a due time.
+  Time assignedAt{};  ///< When the assignment arrived; the batch had been accepted by then.
+  Time due{};         ///< When all results are due, if the assignment has a due time.
   PartitionId partition;
   std::uint32_t locatorAttempt = 0;
   Time leaseEnd{};  ///< No item starts after this; extended by heartbeat replies.
--- a/src/batch/batch_runner_core.cpp
+++ b/src/batch/batch_runner_core.cpp
@@ -70,6 +70,7 @@
   }
   BatchRun& run = runs_.add(key);
   run.assignment = assign;
+  run.assignedAt = context_.now();
   run.due = context_.now() + std::chrono::milliseconds(assign.dueInMilliseconds);
   run.partition = partitionOfBatch(assign.batchId);
   locator_.redirected(run.partition, from);
--- a/src/batch/item_executor.cpp
+++ b/src/batch/item_executor.cpp
@@ -170,6 +170,7 @@
     const BatchRun* current = runs_.find(key);
     return current != nullptr && runs_.mayStart(*current);
   };
+  call.acceptedBefore = run.assignedAt;
   call.failedAttempts = run.histories[position].failedAttempts();
   const std::uint64_t attempt = item.attempt;
   call.onAttempt = [this, key, position](const EngineAttempt& made) {
--- a/src/batch/item_fetcher.cpp
+++ b/src/batch/item_fetcher.cpp
@@ -37,8 +37,13 @@
   run->fetchFrom = page.next;
   for (const UnfinishedItem& item : page.items) {
     const bool known = run->items.count(item.position) != 0 || run->waiting.contains(item.position);
-    if (!known) {
-      run->waiting.add({item.position, engines_.modelOf(item.body), item.body, {}});
+    if (known) {
+      continue;
+    }
+    Result<std::string> model = engines_.modelOf(item.body, run->assignedAt);
+    // An item that can't be decided yet stays pending; the next pass fetches it again.
+    if (model) {
+      run->waiting.add({item.position, std::move(model.value()), item.body, {}});
     }
   }
   if (page.next == 0) {
--- a/src/engines/engine_runner.cpp
+++ b/src/engines/engine_runner.cpp
@@ -5,7 +5,7 @@
 
 namespace shedshed {
 
-std::string EngineRunner::modelOf(const std::string& body) const {
+Result<std::string> EngineRunner::modelOf(const std::string& body, Time) const {
   const std::unique_ptr<cJSON, decltype(&cJSON_Delete)> json(
       cJSON_ParseWithLength(body.data(), body.size()), &cJSON_Delete);
   const cJSON* model = cJSON_GetObjectItemCaseSensitive(json.get(), "model");
--- a/src/engines/engine_runner.h
+++ b/src/engines/engine_runner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "kernel/error.h"
+#include "kernel/time.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,7 @@
   std::string body;    ///< As submitted: JSON of a chat completion, or an encoded opaque call.
   std::string tenant;  ///< Tenant that owns the batch.
   std::string suggestedEngine;  ///< Engine that the owner of the item's slot suggests, or empty.
+  Time acceptedBefore{};        ///< When this node knew that the batch had been accepted.
   std::uint32_t failedAttempts = 0;  ///< Answers of 500 that earlier calls of the item received.
   /// False once the item must no longer be sent to an engine; called on the core thread.
   std::function<bool()> isWanted = [] { return true; };
@@ -50,8 +52,10 @@
   virtual void run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) = 0;
 
   /// Returns the model or service that an item with @p body requests; empty if no engine can ever
-  /// serve it. By default the member `model` of a JSON object.
-  virtual std::string modelOf(const std::string& body) const;
+  /// serve it. Fails with `NotReady` if that can't be told yet: the settings of this node are not
+  /// proved to be as new as @p acceptedBefore, a time at which the batch had been accepted. By
+  /// default the member `model` of a JSON object.
+  virtual Result<std::string> modelOf(const std::string& body, Time acceptedBefore) const;
 };
 
 }  // namespace shedshed
--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -5,6 +5,7 @@
 #include "gateway/item_retry_policy.h"
 #include "kernel/message.h"
 #include "kernel/rendezvous.h"
+#include "register/freshness_proof.h"
 
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -69,17 +70,34 @@
 
 }  // namespace
 
-std::string OpaqueItemRunner::modelOf(const std::string& body) const {
+Result<std::string> OpaqueItemRunner::modelOf(const std::string& body, Time acceptedBefore) const {
   const Result<BatchItemCall> item = decodeRecord<BatchItemCall>(body);
   if (!item) {
-    return {};
+    return std::string();
   }
   const auto settings = services_.settings.read();
-  if (settings == nullptr) {
-    return item.value().service;
+  const auto route = findRoute(settings, item.value().route, acceptedBefore);
+  if (route) {
+    return route.value()->services.front().service;
   }
-  const RouteSettings* route = settings->routes().find(item.value().route);
-  return route == nullptr ? std::string() : route->services.front().service;
+  if (route.error().code == ErrorCode::NotReady) {
+    return route.error();
+  }
+  return std::string();
+}
+
+Result<const RouteSettings*>
+OpaqueItemRunner::findRoute(const std::shared_ptr<const SettingsTree>& settings,
+                            const std::string& name, Time acceptedBefore) const {
+  const RouteSettings* route = settings == nullptr ? nullptr : settings->routes().find(name);
+  if (route != nullptr) {
+    return route;
+  }
+  const bool isCurrent = services_.configuration.freshUntil() >= acceptedBefore + kFreshnessLease;
+  if (settings != nullptr && isCurrent) {
+    return makeError(ErrorCode::InvalidArgument, "the route " + name + " has been removed");
+  }
+  return makeError(ErrorCode::NotReady, "the settings of this node may be older than the batch");
 }
 
 Result<OpaqueCall> OpaqueItemRunner::toOpaqueCall(const EngineCall& call) const {
@@ -97,17 +115,18 @@
   opaque.body = std::move(item.body);
   opaque.tenant = call.tenant;
   opaque.suggestedEngine = call.suggestedEngine;
-  opaque.service = call.model;
   opaque.prompt = parsePromptHints(headerValue(opaque.headers, services_.names.promptParts),
                                    headerValue(opaque.headers, services_.names.tokenCount));
   opaque.resumable = true;
   opaque.idempotent = true;
   const auto settings = services_.settings.read();
-  const RouteSettings* route = settings == nullptr ? nullptr : settings->routes().find(item.route);
-  if (route != nullptr) {
-    opaque.service = chooseService(*route, static_cast<double>(hash64(item.name) % 1024) / 1024);
-    opaque.maxAttempts = std::max(route->maxAttempts, 1U);
+  const auto route = findRoute(settings, item.route, call.acceptedBefore);
+  if (!route) {
+    return route.error();
   }
+  opaque.service =
+      chooseService(*route.value(), static_cast<double>(hash64(item.name) % 1024) / 1024);
+  opaque.maxAttempts = std::max(route.value()->maxAttempts, 1U);
   return opaque;
 }
 
--- a/src/gateway/item_runner.h
+++ b/src/gateway/item_runner.h
@@ -12,20 +12,25 @@
 /// engine, and a rejected item is sent to another engine.
 ///
 /// A result of `run` with status 200 holds the data of all events; with another status the item has
-/// failed for good. After an error with `Ran::No` the item is to be retried later.
+/// failed for good. After an error with `Ran::No` the item is to be retried later, unless its route
+/// has been removed (`InvalidArgument`). A route that this node does not know counts as removed
+/// only if its settings are proved to have been current after the batch was accepted.
 class OpaqueItemRunner : public EngineRunner {
  public:
   explicit OpaqueItemRunner(GatewayServices& services) : services_(services) {}
 
   void run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) override;
-  std::string modelOf(const std::string& body) const override;
+  Result<std::string> modelOf(const std::string& body, Time acceptedBefore) const override;
 
  private:
-  struct Progress;
-
   Result<EngineAnswer> runItem(const EngineCall& call, const ServingStrand& strand,
                                boost::asio::yield_context yield);
   Result<OpaqueCall> toOpaqueCall(const EngineCall& call) const;
+  /// Returns the route named @p name. Fails with `InvalidArgument` if it has been removed, and with
+  /// `NotReady` if the settings of this node may be older than a batch that was accepted before
+  /// @p acceptedBefore.
+  Result<const RouteSettings*> findRoute(const std::shared_ptr<const SettingsTree>& settings,
+                                         const std::string& name, Time acceptedBefore) const;
 
   GatewayServices& services_;
 };
--- a/tests/batch/batch_fleet.h
+++ b/tests/batch/batch_fleet.h
@@ -125,7 +125,14 @@
     }
     return maximum;
   }
+  Result<std::string> modelOf(const std::string& body, Time acceptedBefore) const override {
+    if (modelsUndecided) {
+      return makeError(ErrorCode::NotReady);
+    }
+    return EngineRunner::modelOf(body, acceptedBefore);
+  }
   bool holdAnswers = false;
+  bool modelsUndecided = false;  ///< `modelOf` fails with `NotReady`.
   std::optional<Error> fail;
   std::map<std::string, int> runs;
   Time lastRun{};
@@ -178,6 +185,9 @@
  public:
   explicit ProcessEngines(FakeEngines& engines) : engines_(engines) {}
   ~ProcessEngines() override { *alive_ = false; }
+  Result<std::string> modelOf(const std::string& body, Time acceptedBefore) const override {
+    return engines_.modelOf(body, acceptedBefore);
+  }
   void run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) override {
     engines_.run(std::move(call),
                  [alive = alive_, done = std::move(done)](Result<EngineAnswer> answer) {
--- a/tests/batch/batch_runner_core_test.cpp
+++ b/tests/batch/batch_runner_core_test.cpp
@@ -33,6 +33,17 @@
   BOOST_TEST((request.limits[0].timeToLive == 70s));
 }
 
+BOOST_AUTO_TEST_CASE(itemsThatCannotBeDecidedYetStayPendingAndRunLater) {
+  BatchFleet fleet;
+  fleet.engines.modelsUndecided = true;
+  const std::string id = fleet.accepted(BatchFleet::batchOf(5));
+  fleet.harness.advance(10s);
+  BOOST_TEST(fleet.status(id).value().pending == 5U);
+  fleet.engines.modelsUndecided = false;
+  fleet.harness.advance(10s);
+  BOOST_TEST(fleet.status(id).value().done == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(lostRunnerLeavesUnknownOrRepeats) {
   for (const bool idempotent : {false, true}) {
     BatchFleet fleet;
--- a/tests/gateway/item_runner_fixture.h
+++ b/tests/gateway/item_runner_fixture.h
@@ -49,6 +49,7 @@
     EngineCall call;
     call.model = "s";
     call.body = itemBody(name);
+    call.acceptedBefore = acceptedBefore;
     call.failedAttempts = failedAttempts;
     call.onAttempt = [this](const EngineAttempt& attempt) { attempts.push_back(attempt); };
     std::optional<Result<EngineAnswer>> result;
@@ -77,6 +78,7 @@
   GatewayServices services{loop,  executor, settings,  configuration, directory, table,
                            slots, batches,  forwarder, counters,      names,     Time{}};
   OpaqueItemRunner items{services};
+  Time acceptedBefore = executor.now();
   std::uint32_t failedAttempts = 0;
   std::vector<EngineAttempt> attempts;
 };
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -1,5 +1,6 @@
 // How batch items end: which answers of engines count.
 #include "item_runner_fixture.h"
+#include "register/freshness_proof.h"
 
 using namespace shedshed;
 using namespace shedshed::test;
@@ -53,6 +54,38 @@
   BOOST_TEST(answer.value().status == 200);
 }
 
+// Regression: a front whose settings were older than a batch took the batch's route for removed.
+BOOST_AUTO_TEST_CASE(item_listed_as_failed_by_a_front_that_does_not_know_its_route_yet) {
+  ItemRunnerFixture fixture;
+  fixture.publishRoute("other", 3);
+  fixture.engine.script = {{500}};
+  const Duration age = std::chrono::seconds(1);
+  for (const Time provedAt : {fixture.acceptedBefore - age, Time{}}) {
+    fixture.configuration.until = provedAt + kFreshnessLease;
+    const auto answer = fixture.run();
+    BOOST_REQUIRE(answer.has_error());
+    BOOST_TEST((answer.error().code == ErrorCode::NotReady));
+    BOOST_TEST((answer.error().ran == Ran::No));
+    const auto model =
+        fixture.items.modelOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
+    BOOST_REQUIRE(model.has_error());
+    BOOST_TEST((model.error().code == ErrorCode::NotReady));
+  }
+  BOOST_TEST(fixture.engine.received.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_route_missing_from_newer_settings_than_the_batch_has_been_removed) {
+  ItemRunnerFixture fixture;
+  fixture.publishRoute("other", 3);
+  fixture.configuration.until = fixture.acceptedBefore + kFreshnessLease;
+  const auto answer = fixture.run();
+  BOOST_REQUIRE(answer.has_error());
+  BOOST_TEST((answer.error().code == ErrorCode::InvalidArgument));
+  const auto model =
+      fixture.items.modelOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
+  BOOST_TEST(model.value().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_carries_an_item_once_and_other_items_after_it) {
   ItemRunnerFixture fixture;
   BOOST_REQUIRE(fixture.run("item-1").has_value());
