Upstream: a rejection that names another request says nothing about this one

What callers could see: 503 "not run" for a request that an engine is running, and a second run elsewhere of a request that may run once. Cause: the header "not run" and the status 421 were looked at before the request id. A second answer that comes late, in the place of the next one, could so declare another request rejected. Evidence: running_call_reported_as_not_run_after_the_rejection_of_another_call failed before (200 of a second engine in place of an error that may have run). Suspected, not observed. Change: the id is looked at first. A rejection without an id still counts, since engines need not echo the id of a request that they do not run.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -23,10 +23,17 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
-/// Fails with `ResponseMismatch` unless @p head belongs to the call that was sent, and is signed if
-/// it reports success.
-Status checkHead(const ResponseHead& head) {
-  if (!head.hasRequestId) {
+/// Returns true if the engine reports that it has not run @p call. Engines need not echo the id of
+/// a request that they reject; with the id of another request the response is not about this one.
+bool isRejection(const ResponseHead& head, const OpaqueCall& call) {
+  const bool isOther = !head.requestId.empty() && head.requestId != call.requestId;
+  return !isOther && (head.notRun || head.status == kMisdirected);
+}
+
+/// Fails with `ResponseMismatch` unless @p head belongs to @p call, and is signed if it reports
+/// success.
+Status checkHead(const ResponseHead& head, const OpaqueCall& call) {
+  if (head.requestId != call.requestId) {
     return makeError(ErrorCode::ResponseMismatch, "the response does not echo the request id");
   }
   if (isSuccess(head.status) && !head.isSigned) {
@@ -233,18 +240,18 @@
                                         const EngineChoice& engine, UpstreamConnection& connection,
                                         Duration idleTimeout, boost::asio::yield_context yield) {
   const std::uint64_t requestNumber = loadBalancer_.onSent(engine.id, core_.now());
-  Result<ResponseHead> head = connection.readHead(call, std::min(idleTimeout, timeLeft(call)),
+  Result<ResponseHead> head = connection.readHead(std::min(idleTimeout, timeLeft(call)),
                                                   forwarded.abort, forwarded.strand, yield);
   loadBalancer_.onAnswered(engine.id, requestNumber);
   if (!head) {
     return failedAttempt(head.error());
   }
-  if (head.value().notRun || head.value().status == kMisdirected) {
+  if (isRejection(head.value(), call)) {
     connection.close();
     return rejectedAttempt(
         makeError(ErrorCode::NoEngine, "the engine rejected the call without running it"));
   }
-  if (const Status checked = checkHead(head.value()); !checked) {
+  if (const Status checked = checkHead(head.value(), call); !checked) {
     return failedAttempt(checked.error());
   }
   if (isSuccess(head.value().status) && head.value().eventStream) {
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -146,7 +146,7 @@
   return okStatus();
 }
 
-ResponseHead UpstreamConnection::parseHead(const OpaqueCall& call) {
+ResponseHead UpstreamConnection::parseHead() {
   ResponseHead head;
   const auto& message = parser_->get();
   head.status = static_cast<int>(message.result_int());
@@ -159,8 +159,9 @@
     if (isConnectionHeader(name)) {
       continue;
     }
-    head.hasRequestId =
-        head.hasRequestId || (sameHeaderName(name, names_.requestId) && value == call.requestId);
+    if (sameHeaderName(name, names_.requestId)) {
+      head.requestId = value;
+    }
     head.notRun = head.notRun || sameHeaderName(name, names_.notRun);
     head.isSigned = head.isSigned || sameHeaderName(name, names_.signature);
     if (sameHeaderName(name, "Content-Type")) {
@@ -171,8 +172,8 @@
   return head;
 }
 
-Result<ResponseHead> UpstreamConnection::readHead(const OpaqueCall& call, Duration limit,
-                                                  CallAbort& abort, const ServingStrand& strand,
+Result<ResponseHead> UpstreamConnection::readHead(Duration limit, CallAbort& abort,
+                                                  const ServingStrand& strand,
                                                   net::yield_context yield) {
   const CallAbort::Scope scope(abort, [this]() { close(); });
   SocketDeadline deadline(strand, socket_);
@@ -185,7 +186,7 @@
   if (failed || abort.aborted()) {
     return failure(failed, deadline, abort);
   }
-  return parseHead(call);
+  return parseHead();
 }
 
 Result<std::string_view> UpstreamConnection::readChunk(Duration limit, CallAbort& abort,
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -28,7 +28,7 @@
 struct ResponseHead {
   int status = 0;
   std::vector<HeaderField> headers;  ///< Without hop-by-hop headers.
-  bool hasRequestId = false;         ///< The response echoes the id of the call.
+  std::string requestId;             ///< Id of the call that the response echoes; empty if none.
   bool notRun = false;               ///< The engine reports that it did not run the call.
   bool isSigned = false;
   bool eventStream = false;
@@ -51,8 +51,8 @@
               CallAbort& abort, const ServingStrand& strand, boost::asio::yield_context yield);
 
   /// Reads the head of the response. Fails with `DeadlineExceeded` after @p limit.
-  Result<ResponseHead> readHead(const OpaqueCall& call, Duration limit, CallAbort& abort,
-                                const ServingStrand& strand, boost::asio::yield_context yield);
+  Result<ResponseHead> readHead(Duration limit, CallAbort& abort, const ServingStrand& strand,
+                                boost::asio::yield_context yield);
 
   /// Reads the next bytes of the body; empty at the end of a complete body. Valid until the next
   /// call.
@@ -72,7 +72,7 @@
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  ResponseHead parseHead(const OpaqueCall& call);
+  ResponseHead parseHead();
   Error failure(const boost::system::error_code& failed, const SocketDeadline& deadline,
                 const CallAbort& abort) const;
 
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -2,44 +2,30 @@
 #include "gateway/forwarder.h"
 
 #include "gateway/buffered_request_server.h"
+#include "gateway_fakes.h"
 
 #include <boost/asio/spawn.hpp>
 #include <boost/coroutine/attributes.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace shedshed;
+using namespace shedshed::test;
 
 namespace {
 
 namespace net = boost::asio;
 
-class FixedEngines : public EngineSource {
- public:
-  std::shared_ptr<const EngineTable> table() const override { return engines; }
-  void addListener(std::function<void(const EngineTable&)>) override {}
-  std::shared_ptr<EngineTable> engines = std::make_shared<EngineTable>();
-};
-
-class SteadyExecutor : public CoreExecutor {
- public:
-  void post(std::function<void()> task) override { task(); }
-  Time now() const override { return Time(std::chrono::steady_clock::now().time_since_epoch()); }
-};
-
-class NoCounters : public ServingCounters {
- public:
-  void add(std::string_view, double) override {}
-  void observe(std::string_view, double) override {}
-};
-
-class NoStream : public StreamSink {
- public:
-  void onHead(const ResponseHead&) override {}
-  Status onBytes(std::string_view, net::yield_context) override { return okStatus(); }
-};
-
 /// How an engine answers every call.
-enum class Behaviour { Serves, RefusesNotRun, Misdirected, Fails, AnswersAnotherCall, Unsigned };
+enum class Behaviour {
+  Serves,
+  RefusesNotRun,
+  RefusesAnotherCall,
+  MisdirectsAnotherCall,
+  Misdirected,
+  Fails,
+  AnswersAnotherCall,
+  Unsigned
+};
 
 struct ForwarderFixture {
   /// Adds one engine per entry of @p behaviours. The load balancer prefers the first one.
@@ -74,17 +60,20 @@
   }
   GatewayAnswer answerOf(Behaviour behaviour, const BufferedRequest& call) const {
     GatewayAnswer answer;
-    const bool another = behaviour == Behaviour::AnswersAnotherCall;
+    const bool another = behaviour == Behaviour::AnswersAnotherCall ||
+                         behaviour == Behaviour::RefusesAnotherCall ||
+                         behaviour == Behaviour::MisdirectsAnotherCall;
     answer.headers.push_back(
         {names.requestId, another ? "other" : std::string(call.header(names.requestId))});
     if (behaviour != Behaviour::Unsigned) {
       answer.headers.push_back({names.signature, "seal"});
     }
     answer.body = "body";
-    if (behaviour == Behaviour::RefusesNotRun) {
+    if (behaviour == Behaviour::RefusesNotRun || behaviour == Behaviour::RefusesAnotherCall) {
       answer.status = 503;
       answer.headers.push_back({names.notRun, "1"});
-    } else if (behaviour == Behaviour::Misdirected) {
+    } else if (behaviour == Behaviour::Misdirected ||
+               behaviour == Behaviour::MisdirectsAnotherCall) {
       answer.status = 421;
     } else if (behaviour == Behaviour::Fails) {
       answer.status = 500;
@@ -157,6 +146,19 @@
   BOOST_TEST((unknown.error().ran == Ran::Unknown));
 }
 
+// Regression: the second copy of another request's rejection, come late, was taken for an answer to
+// the request that an engine was running.
+BOOST_AUTO_TEST_CASE(running_call_reported_as_not_run_after_the_rejection_of_another_call) {
+  for (const Behaviour surplus :
+       {Behaviour::RefusesAnotherCall, Behaviour::MisdirectsAnotherCall}) {
+    ForwarderFixture fixture({surplus, Behaviour::Serves});
+    const auto answer = fixture.run(false, 3);
+    BOOST_REQUIRE(answer.has_error());
+    BOOST_TEST((answer.error().ran == Ran::Unknown));
+    BOOST_TEST(fixture.attemptedEngines.size() == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_may_have_run_is_repeated_only_if_it_is_idempotent) {
   for (const Behaviour lost : {Behaviour::AnswersAnotherCall, Behaviour::Unsigned}) {
     ForwarderFixture once({lost, Behaviour::Serves});
