Batch: an item that an engine has failed is sent to another engine

What callers saw: items failed for good because one engine, unhealthy while others were well, answered all of their attempts. Change: an attempted engine is chosen again only when no other is left. an_item_that_failed_at_one_engine_goes_to_another failed before (e0 twice).

--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -178,9 +178,6 @@
     if (!attempt.lastEventId.empty()) {
       opaque.resumeAfter = attempt.lastEventId;
     }
-    if (attempt.outcome == AttemptOutcome::Answered && isFailedAttempt(attempt.head.status)) {
-      attemptedEngines.clear();
-    }
     if (attempt.outcome == AttemptOutcome::Rejected) {
       waitForBackoff(strand, yield);
     }
--- a/tests/gateway/item_runner_fixture.h
+++ b/tests/gateway/item_runner_fixture.h
@@ -15,13 +15,18 @@
 /// One engine of the service "s" and the batch route "r" with three attempts.
 struct ItemRunnerFixture {
   ItemRunnerFixture() {
+    list(engine);
+    publishRoute("r", 3);
+  }
+
+  /// Adds an engine to the listing.
+  void list(const ScriptedEngine& listed) {
     EngineInfo info;
-    info.id = "e0";
-    info.address = engine.address();
+    info.id = "e" + std::to_string(table.engines->engines.size());
+    info.address = listed.address();
     info.model = "s";
     info.state = EngineState::Ready;
     table.engines->engines.push_back(info);
-    publishRoute("r", 3);
   }
 
   void publishRoute(const std::string& name, int maxAttempts) {
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -86,6 +86,19 @@
   BOOST_TEST(model.value().empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_item_that_failed_at_one_engine_goes_to_another) {
+  ItemRunnerFixture fixture;
+  ScriptedEngine other(fixture.loop, fixture.names);
+  fixture.list(other);
+  (void)fixture.loadBalancer.onSent("e1", Time());  // Seems unresponsive, so "e0" is preferred.
+  fixture.engine.script = {{500}, {500}};
+  other.script = {{500}, {500}};
+  BOOST_TEST(fixture.run().value().status == 500);
+  BOOST_REQUIRE(fixture.attempts.size() == 3U);
+  BOOST_TEST(fixture.attempts[0].engine == "e0");
+  BOOST_TEST(fixture.attempts[1].engine == "e1");
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_carries_an_item_once_and_other_items_after_it) {
   ItemRunnerFixture fixture;
   BOOST_REQUIRE(fixture.run("item-1").has_value());
