Batch: an item that no engine decides is given up after max_wait_s

What callers would see: since only 422 and 500 count, an item that every engine answers with another failure, for example 404, would be sent again for as long as its batch is open. Change: such an item fails after the max_wait_s of its route, counted from the assignment of the run, which is later than the batch's acceptance; a new run counts anew, so never too early. Test: an_item_that_is_never_decided_is_given_up_after_the_longest_wait_of_its_route.

--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -46,7 +46,7 @@
   return described;
 }
 
-/// Waits before an attempt that would otherwise follow a rejection at once.
+/// Waits before an attempt that would otherwise follow at once.
 void waitForBackoff(const ServingStrand& strand, boost::asio::yield_context yield) {
   boost::asio::steady_timer backoff(strand);
   backoff.expires_after(kRetryBackoff);
@@ -100,13 +100,14 @@
   return makeError(ErrorCode::NotReady, "the settings of this node may be older than the batch");
 }
 
-Result<OpaqueCall> OpaqueItemRunner::toOpaqueCall(const EngineCall& call) const {
+Result<OpaqueItemRunner::PreparedItem> OpaqueItemRunner::prepare(const EngineCall& call) const {
   Result<BatchItemCall> decoded = decodeRecord<BatchItemCall>(call.body);
   if (!decoded) {
     return makeError(ErrorCode::InvalidArgument, decoded.error().detail);
   }
   BatchItemCall& item = decoded.value();
-  OpaqueCall opaque;
+  PreparedItem prepared;
+  OpaqueCall& opaque = prepared.call;
   opaque.requestId = item.name;
   opaque.method = "POST";
   opaque.target = std::move(item.target);
@@ -127,7 +128,10 @@
   opaque.service =
       chooseService(*route.value(), static_cast<double>(hash64(item.name) % 1024) / 1024);
   opaque.maxAttempts = std::max(route.value()->maxAttempts, 1U);
-  return opaque;
+  if (route.value()->maxWait > Duration{0}) {
+    prepared.giveUpAt = call.acceptedBefore + route.value()->maxWait;
+  }
+  return prepared;
 }
 
 void OpaqueItemRunner::run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) {
@@ -143,11 +147,12 @@
 
 Result<EngineAnswer> OpaqueItemRunner::runItem(const EngineCall& call, const ServingStrand& strand,
                                                boost::asio::yield_context yield) {
-  Result<OpaqueCall> prepared = toOpaqueCall(call);
+  Result<PreparedItem> prepared = prepare(call);
   if (!prepared) {
     return prepared.error();
   }
-  OpaqueCall opaque = std::move(prepared.value());
+  OpaqueCall& opaque = prepared.value().call;
+  const std::optional<Time> giveUpAt = prepared.value().giveUpAt;
   EventDataSink sink;
   CallAbort noAbort;
   ForwardedCall forwarded{opaque, sink, noAbort, strand};
@@ -172,13 +177,18 @@
     if (decision == ItemRetryPolicy::Decision::Fail) {
       return EngineAnswer{attempt.head.status, {}};
     }
+    const bool isAnswered = attempt.outcome == AttemptOutcome::Answered;
     if (decision == ItemRetryPolicy::Decision::Requeue) {
+      if (isAnswered && giveUpAt && services_.core.now() >= *giveUpAt) {
+        return EngineAnswer{attempt.head.status, {}};
+      }
       break;
     }
     if (!attempt.lastEventId.empty()) {
       opaque.resumeAfter = attempt.lastEventId;
     }
-    if (attempt.outcome == AttemptOutcome::Rejected) {
+    const bool isInconclusive = isAnswered && !isFailedAttempt(attempt.head.status);
+    if (isInconclusive || attempt.outcome == AttemptOutcome::Rejected) {
       waitForBackoff(strand, yield);
     }
   }
--- a/src/gateway/item_runner.h
+++ b/src/gateway/item_runner.h
@@ -6,6 +6,8 @@
 #include "gateway/batch_dialect.h"
 #include "gateway/gateway_services.h"
 
+#include <optional>
+
 namespace shedshed {
 
 /// Runs each item until it completes or fails for good. An interrupted stream continues at another
@@ -15,6 +17,9 @@
 /// failed for good. After an error with `Ran::No` the item is to be retried later, unless its route
 /// has been removed (`InvalidArgument`). A route that this node does not know counts as removed
 /// only if its settings are proved to have been current after the batch was accepted.
+///
+/// An item whose answers are neither a success nor a failed attempt is given up after the `maxWait`
+/// of its route, counted from the moment at which this node learned of the batch.
 class OpaqueItemRunner : public EngineRunner {
  public:
   explicit OpaqueItemRunner(GatewayServices& services) : services_(services) {}
@@ -25,7 +30,12 @@
  private:
   Result<EngineAnswer> runItem(const EngineCall& call, const ServingStrand& strand,
                                boost::asio::yield_context yield);
-  Result<OpaqueCall> toOpaqueCall(const EngineCall& call) const;
+  struct PreparedItem {
+    OpaqueCall call;
+    /// When the item may be given up although no engine has failed it for good; unset: never.
+    std::optional<Time> giveUpAt;
+  };
+  Result<PreparedItem> prepare(const EngineCall& call) const;
   /// Returns the route named @p name. Fails with `InvalidArgument` if it has been removed, and with
   /// `NotReady` if the settings of this node may be older than a batch that was accepted before
   /// @p acceptedBefore.
--- a/tests/gateway/item_runner_fixture.h
+++ b/tests/gateway/item_runner_fixture.h
@@ -32,7 +32,7 @@
   void publishRoute(const std::string& name, int maxAttempts) {
     const std::string json = R"({"services":{"s":{}},"routes":{")" + name +
                              R"(":{"host":"h","path_prefix":"/b/","kind":"batch",)"
-                             R"("timeout_ms":5000,"max_attempts":)" +
+                             R"("timeout_ms":5000,"max_wait_s":40,"max_attempts":)" +
                              std::to_string(maxAttempts) + R"(,"service":"s"}}})";
     auto tree = SettingsTree::parse(json);
     BOOST_REQUIRE_MESSAGE(tree, "the settings were rejected");
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -86,6 +86,17 @@
   BOOST_TEST(model.value().empty());
 }
 
+BOOST_AUTO_TEST_CASE(
+    an_item_that_is_never_decided_is_given_up_after_the_longest_wait_of_its_route) {
+  ItemRunnerFixture fixture;
+  fixture.engine.script.assign(50, {404});
+  const auto early = fixture.run();
+  BOOST_REQUIRE(early.has_error());
+  BOOST_TEST((early.error().ran == Ran::Unknown));
+  fixture.acceptedBefore = fixture.executor.now() - std::chrono::seconds(41);
+  BOOST_TEST(fixture.run().value().status == 404);
+}
+
 BOOST_AUTO_TEST_CASE(an_item_that_failed_at_one_engine_goes_to_another) {
   ItemRunnerFixture fixture;
   ScriptedEngine other(fixture.loop, fixture.names);
