--- a/standins/engine_behaviour.h
+++ b/standins/engine_behaviour.h
@@ -23,13 +23,16 @@
   std::size_t cacheBlocks = 4096;    ///< Capacity of the prefix cache, in prompt blocks.
 };
 
-/// Injected fault. Stays in force until another one or the control action `normal` replaces it.
+/// Injected fault of a share of the requests. Stays in force until another one or the control
+/// action `normal` replaces it.
 enum class Fault {
   None,
   Late,   ///< Delays the response after prefill.
   Cut,    ///< Ends the connection in the middle of the response.
   Cross,  ///< Answers with a request ID that is not the caller's.
-  Reset   ///< Resets the connection before any response.
+  Reset,  ///< Resets the connection before any response.
+  Error,  ///< Answers with status 500.
+  Twice   ///< Sends the response again when the next request arrives on the connection.
 };
 
 /// LRU cache of prompt block hashes; leading blocks that hit need no prefill. Thread-safe.
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -50,7 +50,12 @@
       parser.body_limit(kMaxBodyBytes);
       beast::error_code error;
       http::async_read(stream_, buffer, parser, yield_[error]);
-      if (error || !handle(parser.get())) {
+      if (error) {
+        break;
+      }
+      sendSurplus();
+      fault_ = engine_.drawFault();
+      if (!handle(parser.get())) {
         break;
       }
     }
@@ -58,6 +63,24 @@
   }
 
  private:
+  /// Sends the second copy of the previous response, if there is one.
+  void sendSurplus() {
+    beast::error_code ignored;
+    asio::async_write(stream_, asio::buffer(surplus_), yield_[ignored]);
+    surplus_.clear();
+  }
+
+  /// Sends bytes of a response, and keeps a copy if the response is to be sent twice.
+  template <class Buffers>
+  beast::error_code send(const Buffers& buffers) {
+    if (fault_ == Fault::Twice) {
+      surplus_ += beast::buffers_to_string(buffers);
+    }
+    beast::error_code error;
+    asio::async_write(stream_, buffers, yield_[error]);
+    return error;
+  }
+
   /// Returns false if the connection has to be closed.
   bool handle(const Request& request) {
     waitWhileFrozen();
@@ -116,7 +139,7 @@
       return sendJson(request, http::status::bad_request, R"({"error":"no messages"})");
     }
     engine_.log_[recordIndex].promptDigest = completionTokens(parsed->prompt, 1).front();
-    if (engine_.fault_ == Fault::Reset) {
+    if (fault_ == Fault::Reset) {
       engine_.log_[recordIndex].outcome = "reset";
       stream_.socket().set_option(asio::socket_base::linger(true, 0));
       return false;
@@ -134,13 +157,17 @@
     const std::size_t cached = engine_.cache_.touch(parsed.prompt, &blocks);
     pause(milliseconds(engine_.profile_.prefillMsPerBlock * static_cast<double>(blocks - cached) *
                        engine_.slowFactor_));
-    if (engine_.fault_ == Fault::Late) {
+    if (fault_ == Fault::Late) {
       pause(milliseconds(engine_.responseDelaySeconds_ * 1000));
     }
-    const std::string responseId = engine_.fault_ == Fault::Cross ? "crossed-" + id : id;
+    const std::string responseId = fault_ == Fault::Cross ? "crossed-" + id : id;
     const std::uint32_t count =
         parsed.maxTokens != 0 ? parsed.maxTokens : engine_.profile_.defaultTokens;
     const std::vector<std::string> tokens = completionTokens(parsed.prompt, count);
+    if (fault_ == Fault::Error) {
+      engine_.log_[recordIndex].outcome = "failed";
+      return sendJson(request, http::status::internal_server_error, R"({"error":"injected"})");
+    }
     const bool sent = parsed.stream ? streamCompletion(request, responseId, tokens)
                                     : sendCompletion(request, responseId, tokens);
     engine_.log_[recordIndex].outcome = sent ? "done" : "broken";
@@ -160,13 +187,13 @@
     response.set("X-Request-Id", id);
     response.body() = completionJson(id, engine_.profile_.model, tokens);
     response.prepare_payload();
-    beast::error_code error;
-    if (engine_.fault_ == Fault::Cut) {
+    if (fault_ == Fault::Cut) {
       writeTruncated(response);
       return false;
     }
-    http::async_write(stream_, response, yield_[error]);
-    return !error;
+    std::ostringstream text;
+    text << response;
+    return !send(asio::buffer(text.str()));
   }
 
   /// Writes the header and half of the body; the caller then closes the connection.
@@ -185,13 +212,13 @@
     header.set(http::field::content_type, "text/event-stream");
     header.set("X-Request-Id", id);
     header.chunked(true);
-    http::response_serializer<http::empty_body> serializer{header};
-    beast::error_code error;
-    http::async_write_header(stream_, serializer, yield_[error]);
+    std::ostringstream head;
+    head << header.base();
+    beast::error_code error = send(asio::buffer(head.str()));
     for (std::size_t i = 0; i < tokens.size() && !error; ++i) {
       pause(milliseconds(tokenMilliseconds()));
       waitWhileFrozen();
-      if (engine_.fault_ == Fault::Cut && i >= engine_.cutAfterEvents_) {
+      if (fault_ == Fault::Cut && i >= engine_.cutAfterEvents_) {
         return false;
       }
       const bool last = i + 1 == tokens.size();
@@ -201,19 +228,19 @@
       error = writeEvent("[DONE]");
     }
     if (!error) {
-      asio::async_write(stream_, http::make_chunk_last(), yield_[error]);
+      error = send(http::make_chunk_last());
     }
     return !error;
   }
 
   beast::error_code writeEvent(const std::string& data) {
     const std::string event = "data: " + data + "\n\n";
-    beast::error_code error;
-    asio::async_write(stream_, http::make_chunk(asio::buffer(event)), yield_[error]);
-    return error;
+    return send(http::make_chunk(asio::buffer(event)));
   }
 
   EngineServer& engine_;
+  Fault fault_ = Fault::None;  ///< Of the current request.
+  std::string surplus_;        ///< Copy of the last response that is still to be sent.
   beast::tcp_stream stream_;
   asio::yield_context yield_;
 };
@@ -274,6 +301,7 @@
       cJSON_ParseWithLength(body.data(), body.size()), &cJSON_Delete);
   const cJSON* item = cJSON_GetObjectItemCaseSensitive(json.get(), "action");
   const std::string action = cJSON_IsString(item) ? item->valuestring : "";
+  faultShare_ = numberOf(json.get(), "share", 1);
   if (action == "drain" || action == "undrain") {
     draining_ = action == "drain";
   } else if (action == "crash") {
@@ -293,6 +321,10 @@
     fault_ = Fault::Cross;
   } else if (action == "reset") {
     fault_ = Fault::Reset;
+  } else if (action == "error") {
+    fault_ = Fault::Error;
+  } else if (action == "twice") {
+    fault_ = Fault::Twice;
   } else if (action == "normal") {
     fault_ = Fault::None;
     slowFactor_ = 1;
@@ -302,6 +334,10 @@
   return true;
 }
 
+Fault EngineServer::drawFault() {
+  return std::uniform_real_distribution<double>()(random_) < faultShare_ ? fault_ : Fault::None;
+}
+
 std::string EngineServer::healthJson() const {
   return std::string(R"({"status":")") + (draining_ ? "draining" : "ready") + R"(","running":)" +
          std::to_string(running_) + R"(,"max_running":)" + std::to_string(profile_.maxRunning) +
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace shedshed::standin {
@@ -41,6 +42,8 @@
   void releaseCapacity();
   /// Applies a control action given as JSON. Returns false if the action is unknown.
   bool applyControl(const std::string& body);
+  /// Returns the fault of the next request.
+  Fault drawFault();
   std::string healthJson() const;
   std::string logJson() const;
   bool frozen() const;
@@ -53,6 +56,8 @@
   std::deque<std::shared_ptr<boost::asio::steady_timer>> waiting_;
   bool draining_ = false;
   Fault fault_ = Fault::None;
+  double faultShare_ = 1;  ///< Share of the requests that have the fault.
+  std::mt19937_64 random_{1};
   double slowFactor_ = 1;
   double responseDelaySeconds_ = 0;
   std::uint32_t cutAfterEvents_ = 0;
