Partition: a replica that restarts during a transfer of the table catches up

Cause: the replica keeps its position in memory. After the restart it answered each page with an empty position, and the owner took this for a position after the empty key: a page that does not begin at the start, which the replica refuses again. Change: an empty position means the start.

--- a/src/partition/partition_messages.h
+++ b/src/partition/partition_messages.h
@@ -109,7 +109,7 @@
   std::uint64_t transfer = 0;
   bool differs = false;    ///< The rows may not be kept; a full transfer is needed.
   bool last = false;       ///< The transfer is complete.
-  std::string throughKey;  ///< Key through which the table has been applied.
+  std::string throughKey;  ///< Key through which the table has been applied; empty before a page.
   MSGPACK_DEFINE(storeId, partition, epoch, promisedEpoch, transfer, differs, last, throughKey);
 };
 
--- a/src/partition/replica_peer.cpp
+++ b/src/partition/replica_peer.cpp
@@ -74,7 +74,8 @@
     return;
   }
   if (!reply.last) {
-    state_.transfer->fromStart = false;
+    // A replica that restarted during the transfer has forgotten its position and begins anew.
+    state_.transfer->fromStart = reply.throughKey.empty();
     state_.transfer->afterKey = reply.throughKey;
     sendPage();
     return;
--- a/tests/partition_known_red/interrupted_transfer_test.cpp
+++ b/tests/partition/replica_peer_test.cpp
@@ -1,5 +1,5 @@
 // A replica that restarts on the same disk during a paged transfer must still catch up.
-#include "../partition/partition_fleet.h"
+#include "partition_fleet.h"
 
 using namespace shedshed;
 using namespace shedshed::test;
