--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -46,6 +46,11 @@
   return described;
 }
 
+/// True for an answer that is neither a success nor a failed attempt.
+bool isUndecidedAnswer(const UpstreamAttempt& attempt) {
+  return attempt.outcome == AttemptOutcome::Answered && !isFailedAttempt(attempt.head.status);
+}
+
 /// Waits before an attempt that would otherwise follow at once.
 void waitForBackoff(const ServingStrand& strand, boost::asio::yield_context yield) {
   boost::asio::steady_timer backoff(strand);
@@ -152,7 +157,7 @@
     return prepared.error();
   }
   OpaqueCall& opaque = prepared.value().call;
-  const std::optional<Time> giveUpAt = prepared.value().giveUpAt;
+  const Time giveUpAt = prepared.value().giveUpAt;
   EventDataSink sink;
   CallAbort noAbort;
   ForwardedCall forwarded{opaque, sink, noAbort, strand};
@@ -174,21 +179,18 @@
       const bool streamed = attempt.outcome == AttemptOutcome::Streamed;
       return EngineAnswer{kOk, streamed ? sink.take() : attempt.body};
     }
-    if (decision == ItemRetryPolicy::Decision::Fail) {
+    const bool isGivenUp = isUndecidedAnswer(attempt) && services_.core.now() >= giveUpAt;
+    if (decision == ItemRetryPolicy::Decision::Fail ||
+        (decision == ItemRetryPolicy::Decision::Requeue && isGivenUp)) {
       return EngineAnswer{attempt.head.status, {}};
     }
-    const bool isAnswered = attempt.outcome == AttemptOutcome::Answered;
     if (decision == ItemRetryPolicy::Decision::Requeue) {
-      if (isAnswered && giveUpAt && services_.core.now() >= *giveUpAt) {
-        return EngineAnswer{attempt.head.status, {}};
-      }
       break;
     }
     if (!attempt.lastEventId.empty()) {
       opaque.resumeAfter = attempt.lastEventId;
     }
-    const bool isInconclusive = isAnswered && !isFailedAttempt(attempt.head.status);
-    if (isInconclusive || attempt.outcome == AttemptOutcome::Rejected) {
+    if (isUndecidedAnswer(attempt) || attempt.outcome == AttemptOutcome::Rejected) {
       waitForBackoff(strand, yield);
     }
   }
--- a/src/gateway/item_runner.h
+++ b/src/gateway/item_runner.h
@@ -6,8 +6,6 @@
 #include "gateway/batch_dialect.h"
 #include "gateway/gateway_services.h"
 
-#include <optional>
-
 namespace shedshed {
 
 /// Runs each item until it completes or fails for good. An interrupted stream continues at another
@@ -32,8 +30,8 @@
                                boost::asio::yield_context yield);
   struct PreparedItem {
     OpaqueCall call;
-    /// When the item may be given up although no engine has failed it for good; unset: never.
-    std::optional<Time> giveUpAt;
+    /// When the item may be given up although no engine has failed it for good.
+    Time giveUpAt = Time::max();
   };
   Result<PreparedItem> prepare(const EngineCall& call) const;
   /// Returns the route named @p name. Fails with `InvalidArgument` if it has been removed, and with
