Soak: no batch comes while the run awaits those that came

Cause: the operator of the soak went on adding routes, with three batches each, after the time of trouble; the run looked at its batches the moment all earlier ones were complete. The front's log of that run: the last settings adopted at the end of the wait, the process stopping right after. The check stays: every batch that was submitted must be complete within 60 s. Change: the operator stops before the batches are awaited.

--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -319,6 +319,7 @@
     def __init__(self, soak, batches):
         self.soak = soak
         self.batches = batches
+        self.stopping = asyncio.Event()
         self.version = 1
         self.added = 0
 
@@ -341,7 +342,7 @@
             await asyncio.sleep(0.2)
 
     async def run(self):
-        while not self.soak.stopping.is_set():
+        while not self.stopping.is_set():
             await asyncio.sleep(self.soak.rng.uniform(0.2, 1.2))
             if self.soak.rng.random() < 0.4 and self.added < 12:
                 await self._add_batch_route()
