--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,7 +25,7 @@
             continue
         tenants = [value for name, value in fields if name == "x-shedshed-tenant"]
         keys = [f"{name}: {value}" for name, value in fields if KEY in value]
-        if tenants != [TENANT] or keys:
+        if not tenants or set(tenants) != {TENANT} or keys:
             broken = True
             run.record.write(
                 f"UNASKED: {request_id} ran at {engine.id} with X-Shedshed-Tenant {tenants} and "
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -6,6 +6,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -20,7 +21,9 @@
 OTHER_TENANT = "mopu31"
 OTHER_KEY = "n2ctnfzs989anu6wsjnb"
 BATCH_PATH = "/batch/"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit codes of a case. Python ends with 1 for its own failures, so `run.sh` makes 1 of BROKEN.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+PLAY_LIMIT_S = 110
 READY_LIMIT_S = 40
 
 
@@ -254,27 +257,28 @@
     record = Record(os.path.join(folder, "record.txt"))
     record.write(f"begin, {'with' if trouble else 'without'} the disruption")
     files = tempfile.mkdtemp(prefix="review-")
-    run = Run(files, record)
+    # A stop from outside ends the processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    run = None
+    outcome = NOT_RUN
 
     async def body():
         try:
-            return await asyncio.wait_for(play(run, trouble), 112)
+            return await asyncio.wait_for(play(run, trouble), PLAY_LIMIT_S)
         except asyncio.TimeoutError as failure:
             raise CouldNotRun("the time of the case is over") from failure
 
     try:
+        run = Run(files, record)
         outcome = asyncio.run(body())
-        ended = run.fleet.ended_by_themselves()
-        if ended:
-            record.write(f"processes that ended by themselves: {ended}")
-    except (CouldNotRun, OSError) as failure:
-        record.write(f"could not run: {failure}")
-        print(f"could not run: {failure}")
-        outcome = NOT_RUN
+        record.write(f"processes that ended by themselves: {run.fleet.ended_by_themselves()}")
+    except Exception as failure:  # Whatever it is, the rule was not judged.
+        record.write(f"could not run: {failure!r}")
+        print(f"could not run: {failure!r}")
     finally:
-        run.fleet.stop()
-        if os.environ.get("KEEP_FILES") != "1":
-            shutil.rmtree(files, ignore_errors=True)
-    record.write(f"end: {outcome}")
+        if run is not None:
+            run.fleet.stop()
+        shutil.rmtree(files, ignore_errors=True)
+    record.write({HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[outcome])
     print({HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[outcome])
     sys.exit(outcome)
