Batch: log and count accepted items that wait without progress, with the obstacle

A refusal by the tenant's pool, a refusal by the pool of a service's lent capacity, a store without an answer, and engines that answer "not run" all show as a job that lists nothing; `batch_slot_refusals_total` counts the first two as one. Change: the runner logs `ItemsStalled` once when, for 5 s, items of a run wait and none of their model is finished, with the last obstacle: the pool that refused, with its size, or the error of the last engine call. `ItemsResumed` ends it; the gauge `batch_items_stalled` counts the items.

--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -5,6 +5,7 @@
 #include "batch/batch_messages.h"
 #include "batch/item_admission.h"
 #include "batch/item_history.h"
+#include "batch/stall_detector.h"
 #include "batch/waiting_items.h"
 #include "partition/partition_store.h"
 
@@ -55,9 +56,10 @@
   std::map<std::uint64_t, ItemAttempt> items;       ///< By position.
   std::map<std::uint64_t, ItemHistory> histories;   ///< By position; of items that were called.
   std::map<std::string, ItemAdmission> admissions;  ///< By model.
-  std::uint64_t fetchFrom = 0;                      ///< Position of the next page.
-  std::optional<Time> fetchSent;                    ///< Set while a page is in flight.
-  Time nextPass{};                                  ///< Earliest time of the next first page.
+  StallDetector stalls;
+  std::uint64_t fetchFrom = 0;    ///< Position of the next page.
+  std::optional<Time> fetchSent;  ///< Set while a page is in flight.
+  Time nextPass{};                ///< Earliest time of the next first page.
 };
 
 }  // namespace shedshed
--- a/src/batch/batch_runner_core.cpp
+++ b/src/batch/batch_runner_core.cpp
@@ -106,6 +106,29 @@
     executor_.startWaitingItems(key);
     runs_.removeIfDone(key);
   }
+  reportStalls();
+}
+
+void BatchRunnerCore::reportStalls() {
+  std::uint32_t stalledItems = 0;
+  for (auto& [key, run] : runs_.runs()) {
+    const StallChanges changes = run.stalls.check(run.waiting.countByModel(), context_.now());
+    for (const ItemStall& stall : changes.begun) {
+      context_.logEvent(TraceEvent("ItemsStalled", Severity::Warning)
+                            .field("batch", key.first)
+                            .field("run_epoch", key.second)
+                            .field("tenant", run.assignment.tenant)
+                            .field("model", stall.model)
+                            .field("waiting", stall.waiting)
+                            .field("age_ms", stall.age)
+                            .field("obstacle", stall.obstacle));
+    }
+    for (const std::string& model : changes.ended) {
+      context_.logEvent(TraceEvent("ItemsResumed").field("batch", key.first).field("model", model));
+    }
+    stalledItems += run.stalls.stalledItems();
+  }
+  context_.counters().set("batch_items_stalled", stalledItems);
 }
 
 void BatchRunnerCore::retryRejected() {
--- a/src/batch/batch_runner_core.h
+++ b/src/batch/batch_runner_core.h
@@ -54,6 +54,8 @@
   /// ends the run.
   void returnIfDrained(const RunKey& key, const BatchRun& run);
   void tick();
+  /// Logs the stalls of all runs that begin or end, and counts the stalled items.
+  void reportStalls();
   /// Requests slots again for rejected items whose delay is over.
   void retryRejected();
 
--- a/src/batch/item_executor.cpp
+++ b/src/batch/item_executor.cpp
@@ -16,6 +16,10 @@
   return code == ErrorCode::InvalidArgument || code == ErrorCode::TooLarge;
 }
 
+std::string describe(const Error& error) {
+  return std::string(errorTypeName(error.code)) + ": " + error.detail;
+}
+
 }  // namespace
 
 void ItemExecutor::startWaitingItems(const RunKey& key) {
@@ -91,6 +95,7 @@
     }
     slots_.release(*run, *item);
   } else {
+    run->stalls.onObstacle(item->model, describe(grant.error()));
     const Duration delay = slots_.onRejected(*run, item->model);
     run->waiting.requeue({position, item->model, std::move(item->body), context_.now() + delay});
   }
@@ -207,6 +212,7 @@
     finishItem(key, run, position, ItemState::Failed, {}, error.code);
     return;
   }
+  run.stalls.onObstacle(run.items[position].model, describe(error));
   if (error.ran == Ran::No) {
     run.admissions[run.items[position].model].pause(context_.now() + options_.retryDelay);
     run.histories[position].callNotRun();
@@ -235,6 +241,7 @@
     logFailedItem(finish, run.histories[position]);
   }
   run.histories.erase(position);
+  run.stalls.onProgress(item.model);
   report(run, item, encodeMessage(finish));
 }
 
--- a/src/batch/waiting_items.cpp
+++ b/src/batch/waiting_items.cpp
@@ -32,6 +32,16 @@
          std::any_of(requeued_.begin(), requeued_.end(), atPosition);
 }
 
+std::map<std::string, std::uint32_t> WaitingItems::countByModel() const {
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto* items : {&queue_, &requeued_}) {
+    for (const WaitingItem& item : *items) {
+      ++counts[item.model];
+    }
+  }
+  return counts;
+}
+
 void WaitingItems::clear() {
   queue_.clear();
   requeued_.clear();
--- a/src/batch/waiting_items.h
+++ b/src/batch/waiting_items.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -39,6 +40,9 @@
   bool contains(std::uint64_t position) const;
   void clear();
 
+  /// Number of items by model.
+  std::map<std::string, std::uint32_t> countByModel() const;
+
   std::size_t queued() const { return queue_.size(); }
   std::size_t requeued() const { return requeued_.size(); }
 
--- a/src/slots/slot_acquisition.cpp
+++ b/src/slots/slot_acquisition.cpp
@@ -80,9 +80,13 @@
   done_(std::move(grant));
 }
 
-void SlotAcquisition::finishRejected(ErrorCode code) {
-  const SlotLimit& limit = currentLimit();
-  done_(makeError(code, limit.pool.limiter + " " + limit.pool.key));
+void SlotAcquisition::finishRejected(ErrorCode code, std::optional<std::uint32_t> poolSize) {
+  const PoolName& pool = currentLimit().pool;
+  std::string detail = pool.limiter + " " + pool.key;
+  if (poolSize) {
+    detail += " of size " + std::to_string(*poolSize);
+  }
+  done_(makeError(code, detail));
 }
 
 }  // namespace shedshed
--- a/src/slots/slot_acquisition.h
+++ b/src/slots/slot_acquisition.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,8 +65,9 @@
 
   /// Reports the slots to the requester. Call once, when complete.
   void finishGranted(std::uint64_t grantId);
-  /// Reports that the current limit has rejected the request. Call once.
-  void finishRejected(ErrorCode code);
+  /// Reports that the current limit has rejected the request. Call once. The error's detail names
+  /// the pool, and its size if @p poolSize is known.
+  void finishRejected(ErrorCode code, std::optional<std::uint32_t> poolSize = std::nullopt);
 
   /// The requests for the current limit.
   LimitAttempt& attempt() { return attempt_; }
--- a/src/slots/slot_client_core.cpp
+++ b/src/slots/slot_client_core.cpp
@@ -214,7 +214,7 @@
   const Duration poll = jitteredPoll(acquisition.currentLimit().poll, context_.random());
   const bool waits = poolSize > 0 && acquisition.mayBlock(poll, context_.now());
   if (!waits) {
-    finishRejected(id, ErrorCode::PoolFull);
+    finishRejected(id, ErrorCode::PoolFull, poolSize);
     return;
   }
   releaseGranted(acquisition);
@@ -256,14 +256,15 @@
   acquisition.finishGranted(id);
 }
 
-void SlotClientCore::finishRejected(std::uint64_t id, ErrorCode code) {
+void SlotClientCore::finishRejected(std::uint64_t id, ErrorCode code,
+                                    std::optional<std::uint32_t> poolSize) {
   SlotAcquisition acquisition = std::move(acquisitions_.at(id));
   acquisitions_.erase(id);
   context_.stopTimer(id);
   if (options_.safeguards.releaseBeforeRefusal) {
     releaseGranted(acquisition);
   }
-  acquisition.finishRejected(code);
+  acquisition.finishRejected(code, poolSize);
 }
 
 void SlotClientCore::releaseGranted(SlotAcquisition& acquisition) {
--- a/src/slots/slot_client_core.h
+++ b/src/slots/slot_client_core.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace shedshed {
@@ -70,7 +71,8 @@
   void onGrantedSlotsQuery(const NodeId& from, const GrantedSlotsQuery& query);
 
   void finishGranted(std::uint64_t id);
-  void finishRejected(std::uint64_t id, ErrorCode code);
+  void finishRejected(std::uint64_t id, ErrorCode code,
+                      std::optional<std::uint32_t> poolSize = std::nullopt);
   void releaseGranted(SlotAcquisition& acquisition);
   /// Releases a slot that @p claim may have been granted without this node's knowledge.
   void abandon(const SlotClaim& claim);
