Batch: an item requests slots of the service that it runs on

Cause: where an item goes was decided twice, by two rules and at two times. The runner took the name of the pool of lent capacity from the first service of the route when it fetched the item, and kept it; the engine call chose by weight when it was made. A pool of a service without ready engines has size 0 and refuses for ever. Change: one rule, `chooseService` by the item's name, decides for slots and run, and live requests use the same. The target of an item that waits follows the settings: it is looked up again when `EngineRunner::targetsVersion` has changed, and an item whose model changes doesn't wait out the delay of the old pool. A call whose slots are of another service than the route's ends as not run, and no further attempt goes to a service that the route has left. A run's request for a share of a pool counts the items of that pool's service only. Why it works: capacity is requested for the same service that the call uses, as of the settings in force; when these change in between, the item goes back to its owner. `modelOf` became `targetOf`; the checks of the tests that call it are the same.

--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -31,7 +31,8 @@
 struct ItemAttempt {
   AttemptPhase phase = AttemptPhase::Acquiring;
   std::uint64_t attempt = 0;
-  std::string model;
+  ItemTarget target;
+  std::uint64_t targetsVersion = 0;  ///< That `target` is based on.
   std::string body;
   std::optional<std::uint64_t> grant;  ///< Id of the granted slots.
   std::string suggestedEngine;
--- a/src/batch/item_executor.cpp
+++ b/src/batch/item_executor.cpp
@@ -28,10 +28,11 @@
     if (run == nullptr || !runs_.mayStart(*run) || !hasCapacity(*run)) {
       return;
     }
+    updateTargets(*run);
     // An item without a model needs no slots.
     const Time now = context_.now();
     std::optional<WaitingItem> next = run->waiting.takeFirst([run, now](const WaitingItem& item) {
-      return item.model.empty() || run->admissions[item.model].mayRequest(now);
+      return item.target.model.empty() || run->admissions[item.target.model].mayRequest(now);
     });
     if (!next) {
       fetcher_.fetch(key, *run);
@@ -41,6 +42,12 @@
   }
 }
 
+void ItemExecutor::updateTargets(BatchRun& run) {
+  run.waiting.updateTargets(engines_.targetsVersion(), [this, &run](const std::string& body) {
+    return engines_.targetOf(body, run.assignedAt);
+  });
+}
+
 bool ItemExecutor::hasCapacity(const BatchRun& run) const {
   const auto active = std::count_if(run.items.begin(), run.items.end(), [](const auto& entry) {
     return entry.second.phase != AttemptPhase::Reporting;
@@ -54,9 +61,10 @@
   ItemAttempt& item = run.items[next.position];
   item.attempt = nextAttempt_++;
   item.body = std::move(next.body);
-  item.model = std::move(next.model);
+  item.target = std::move(next.target);
+  item.targetsVersion = next.targetsVersion;
   ++itemsInFlight_;
-  if (item.model.empty()) {
+  if (item.target.model.empty()) {
     // The item can only fail. It needs no engine and therefore no slots.
     requestStart(key, run, next.position);
     return;
@@ -95,9 +103,10 @@
     }
     slots_.release(*run, *item);
   } else {
-    run->stalls.onObstacle(item->model, describe(grant.error()));
-    const Duration delay = slots_.onRejected(*run, item->model);
-    run->waiting.requeue({position, item->model, std::move(item->body), context_.now() + delay});
+    run->stalls.onObstacle(item->target.model, describe(grant.error()));
+    const Duration delay = slots_.onRejected(*run, item->target.model);
+    run->waiting.requeue({position, std::move(item->target), item->targetsVersion,
+                          std::move(item->body), context_.now() + delay});
   }
   run->items.erase(position);
   --itemsInFlight_;
@@ -159,7 +168,7 @@
 void ItemExecutor::callEngine(const RunKey& key, BatchRun& run, std::uint64_t position) {
   ItemAttempt& item = run.items[position];
   item.phase = AttemptPhase::Running;
-  if (item.model.empty()) {
+  if (item.target.model.empty()) {
     finishItem(key, run, position, ItemState::Failed, {}, ErrorCode::InvalidArgument);
     return;
   }
@@ -167,7 +176,7 @@
   EngineCall call;
   call.requestId = key.first + "-" + std::to_string(position) + "-" + std::to_string(key.second) +
                    "-" + std::to_string(item.attempt);
-  call.model = item.model;
+  call.model = item.target.model;
   call.body = std::move(item.body);
   call.tenant = run.assignment.tenant;
   call.suggestedEngine = item.suggestedEngine;
@@ -212,9 +221,9 @@
     finishItem(key, run, position, ItemState::Failed, {}, error.code);
     return;
   }
-  run.stalls.onObstacle(run.items[position].model, describe(error));
+  run.stalls.onObstacle(run.items[position].target.model, describe(error));
   if (error.ran == Ran::No) {
-    run.admissions[run.items[position].model].pause(context_.now() + options_.retryDelay);
+    run.admissions[run.items[position].target.model].pause(context_.now() + options_.retryDelay);
     run.histories[position].callNotRun();
     revertStart(key, run, position, false);
     return;
@@ -241,7 +250,7 @@
     logFailedItem(finish, run.histories[position]);
   }
   run.histories.erase(position);
-  run.stalls.onProgress(item.model);
+  run.stalls.onProgress(item.target.model);
   report(run, item, encodeMessage(finish));
 }
 
--- a/src/batch/item_executor.h
+++ b/src/batch/item_executor.h
@@ -42,6 +42,9 @@
   std::uint64_t nextAttempt() const { return nextAttempt_; }
 
  private:
+  /// Applies a change of the settings to the waiting items: each must request slots of the service
+  /// on which it is going to run.
+  void updateTargets(BatchRun& run);
   bool hasCapacity(const BatchRun& run) const;
   /// Returns the attempt, or null if it is not in flight.
   static ItemAttempt* findAttempt(BatchRun* run, std::uint64_t position, std::uint64_t attempt);
--- a/src/batch/item_fetcher.cpp
+++ b/src/batch/item_fetcher.cpp
@@ -35,15 +35,16 @@
   }
   run->fetchSent.reset();
   run->fetchFrom = page.next;
+  const std::uint64_t targetsVersion = engines_.targetsVersion();
   for (const UnfinishedItem& item : page.items) {
     const bool known = run->items.count(item.position) != 0 || run->waiting.contains(item.position);
     if (known) {
       continue;
     }
-    Result<std::string> model = engines_.modelOf(item.body, run->assignedAt);
+    Result<ItemTarget> target = engines_.targetOf(item.body, run->assignedAt);
     // An item that can't be decided yet stays pending; the next pass fetches it again.
-    if (model) {
-      run->waiting.add({item.position, std::move(model.value()), item.body, {}});
+    if (target) {
+      run->waiting.add({item.position, std::move(target.value()), targetsVersion, item.body, {}});
     }
   }
   if (page.next == 0) {
--- a/src/batch/item_fetcher.h
+++ b/src/batch/item_fetcher.h
@@ -14,7 +14,7 @@
 class ItemFetcher {
  public:
   /// Holds references to the arguments, which must outlive this object.
-  ItemFetcher(CoreContext& context, RunTable& runs, const EngineRunner& engines,
+  ItemFetcher(CoreContext& context, RunTable& runs, EngineRunner& engines,
               const BatchRunnerOptions& options)
       : context_(context), runs_(runs), engines_(engines), options_(options) {}
 
@@ -28,7 +28,7 @@
  private:
   CoreContext& context_;
   RunTable& runs_;
-  const EngineRunner& engines_;
+  EngineRunner& engines_;
   const BatchRunnerOptions& options_;
 };
 
--- a/src/batch/item_slots.cpp
+++ b/src/batch/item_slots.cpp
@@ -23,23 +23,24 @@
   limit.timeToLive = settings.itemSlotTtl;
   limit.pool = {"tenant", run.assignment.tenant};
   request.limits.push_back(limit);
-  limit.pool = {"batch", item.model};
+  limit.pool = {"batch", item.target.model};
   request.limits.push_back(limit);
   if (run.assignment.hasDueTime) {
-    request.shareRequest = ShareRequest{key.first + "/" + std::to_string(key.second),
-                                        run.due - context_.now(), requestedSlots(run)};
-    request.onShareAssigned = [this, key, model = item.model](const ShareAssignment& share) {
+    request.shareRequest =
+        ShareRequest{key.first + "/" + std::to_string(key.second), run.due - context_.now(),
+                     requestedSlots(run, item.target.model)};
+    request.onShareAssigned = [this, key, model = item.target.model](const ShareAssignment& share) {
       onShare(key, model, share);
     };
   }
-  ItemAdmission& admission = run.admissions[item.model];
+  ItemAdmission& admission = run.admissions[item.target.model];
   admission.setGrowthInterval(settings.requeueDelay / kWindowStepsPerRequeue);
   admission.requested();
   slots_.acquire(std::move(request), std::move(done));
 }
 
 void ItemSlots::onGranted(BatchRun& run, ItemAttempt& item, const SlotGrant& grant) {
-  run.admissions[item.model].granted(options_.maxItemsInFlightPerBatch);
+  run.admissions[item.target.model].granted(options_.maxItemsInFlightPerBatch);
   item.grant = grant.grantId;
   item.suggestedEngine = grant.suggestedEngine();
 }
@@ -66,18 +67,18 @@
 
 void ItemSlots::release(BatchRun& run, ItemAttempt& item) {
   if (item.grant) {
-    run.admissions[item.model].released();
+    run.admissions[item.target.model].released();
     slots_.release(*item.grant);
     item.grant.reset();
   }
 }
 
-std::uint32_t ItemSlots::requestedSlots(const BatchRun& run) {
-  const auto active = std::count_if(run.items.begin(), run.items.end(), [](const auto& entry) {
-    return entry.second.phase != AttemptPhase::Reporting;
+std::uint32_t ItemSlots::requestedSlots(const BatchRun& run, const std::string& model) {
+  const auto active = std::count_if(run.items.begin(), run.items.end(), [&](const auto& entry) {
+    const ItemAttempt& item = entry.second;
+    return item.phase != AttemptPhase::Reporting && item.target.model == model;
   });
-  return static_cast<std::uint32_t>(run.waiting.queued() + run.waiting.requeued()) +
-         static_cast<std::uint32_t>(active);
+  return run.waiting.count(model) + static_cast<std::uint32_t>(active);
 }
 
 void ItemSlots::onShare(const RunKey& key, const std::string& model, const ShareAssignment& share) {
--- a/src/batch/item_slots.h
+++ b/src/batch/item_slots.h
@@ -40,8 +40,8 @@
   /// Releases the slots of an item, if it has any.
   void release(BatchRun& run, ItemAttempt& item);
 
-  /// Number of items of a run that wait for slots or hold them.
-  static std::uint32_t requestedSlots(const BatchRun& run);
+  /// Number of items of a run that wait for slots of @p model or hold them.
+  static std::uint32_t requestedSlots(const BatchRun& run, const std::string& model);
 
  private:
   void onShare(const RunKey& key, const std::string& model, const ShareAssignment& share);
--- a/src/batch/waiting_items.h
+++ b/src/batch/waiting_items.h
@@ -2,6 +2,7 @@
 /// Items of one run that have not been started.
 #pragma once
 
+#include "engines/engine_runner.h"
 #include "kernel/time.h"
 
 #include <cstdint>
@@ -16,7 +17,8 @@
 /// An item waiting to be started.
 struct WaitingItem {
   std::uint64_t position = 0;
-  std::string model;  ///< Empty if the body specifies none; the item can then only fail.
+  ItemTarget target;
+  std::uint64_t targetsVersion = 0;  ///< `EngineRunner::targetsVersion` that `target` is based on.
   std::string body;
   Time notBefore{};  ///< Earliest time of the next slot request, for a requeued item.
 };
@@ -31,6 +33,12 @@
   /// Holds an item until its `notBefore`.
   void requeue(WaitingItem item) { requeued_.push_back(std::move(item)); }
 
+  /// Brings the targets of all items up to @p targetsVersion. @p targetOf returns the target of an
+  /// item with the given body; if it fails, the item is dropped. An item whose model changes waits
+  /// for no delay: its delay was that of another pool.
+  void updateTargets(std::uint64_t targetsVersion,
+                     const std::function<Result<ItemTarget>(const std::string&)>& targetOf);
+
   /// Moves requeued items whose delay has elapsed to the front of the queue.
   void returnDueItems(Time now);
 
@@ -40,6 +48,8 @@
   bool contains(std::uint64_t position) const;
   void clear();
 
+  /// Number of items of @p model.
+  std::uint32_t count(const std::string& model) const;
   /// Number of items by model.
   std::map<std::string, std::uint32_t> countByModel() const;
 
--- a/src/engines/engine_runner.h
+++ b/src/engines/engine_runner.h
@@ -21,12 +21,18 @@
   std::string error;             ///< Type of the error if there is no complete response.
 };
 
+/// Where an item is to run, by the settings in force.
+struct ItemTarget {
+  std::string
+      model;  ///< Model, or service of the item's route; empty if no engine can ever run it.
+};
+
 /// One batch item's call.
 struct EngineCall {
   std::string requestId;  ///< Sent to the engine, which must echo it.
-  std::string model;
-  std::string body;    ///< As submitted: JSON of a chat completion, or an encoded opaque call.
-  std::string tenant;  ///< Tenant that owns the batch.
+  std::string model;      ///< Whose lent capacity the item holds: `ItemTarget::model`.
+  std::string body;       ///< As submitted: JSON of a chat completion, or an encoded opaque call.
+  std::string tenant;     ///< Tenant that owns the batch.
   std::string suggestedEngine;  ///< Engine that the owner of the item's slot suggests, or empty.
   Time acceptedBefore{};        ///< When this node knew that the batch had been accepted.
   std::uint32_t failedAttempts = 0;  ///< Answers of 500 that earlier calls of the item received.
@@ -48,14 +54,17 @@
   virtual ~EngineRunner() = default;
 
   /// Routes and runs @p call. @p done is called once, on the core thread. An error's `ran` is `No`
-  /// if no byte was sent to an engine, else `Unknown`.
+  /// if no byte was sent to an engine, else `Unknown`. Fails with `NotReady` if the item's target
+  /// is no longer `EngineCall::model`.
   virtual void run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) = 0;
 
-  /// Returns the model or service that an item with @p body requests; empty if no engine can ever
-  /// serve it. Fails with `NotReady` if that can't be told yet: the settings of this node are not
-  /// proved to be as new as @p acceptedBefore, a time at which the batch had been accepted. By
-  /// default the member `model` of a JSON object.
-  virtual Result<std::string> modelOf(const std::string& body, Time acceptedBefore) const;
+  /// Returns where an item with @p body is to run now. Fails with `NotReady` if that can't be told
+  /// yet: the settings of this node are not proved to be as new as @p acceptedBefore, a time at
+  /// which the batch had been accepted. By default the member `model` of a JSON object.
+  virtual Result<ItemTarget> targetOf(const std::string& body, Time acceptedBefore) const;
+
+  /// Returns another value once `targetOf` may have another result for an item that waits.
+  virtual std::uint64_t targetsVersion() { return 0; }
 };
 
 }  // namespace shedshed
--- a/src/gateway/call_filters.cpp
+++ b/src/gateway/call_filters.cpp
@@ -1,7 +1,7 @@
 #include "gateway/call_filters.h"
 
+#include "gateway/service_choice.h"
 #include "gateway/start_wait.h"
-#include "kernel/rendezvous.h"
 #include "serving/await_core.h"
 #include "slots/pool_rates.h"
 #include "slots/slot_owner_core.h"
@@ -18,29 +18,8 @@
 constexpr Duration kMinStoreWait = std::chrono::milliseconds(40);
 constexpr Duration kMaxStoreWait = std::chrono::milliseconds(300);
 
-/// Maps @p id to a number in [0, 1) by its hash.
-double hashFraction(const std::string& id) {
-  constexpr double kSteps = 1U << 20U;
-  return static_cast<double>(hash64(id) % (1U << 20U)) / kSteps;
-}
-
 }  // namespace
 
-const std::string& chooseService(const RouteSettings& route, double fraction) {
-  double total = 0;
-  for (const WeightedService& candidate : route.services) {
-    total += candidate.weight;
-  }
-  double remaining = fraction * total;
-  for (const WeightedService& candidate : route.services) {
-    remaining -= candidate.weight;
-    if (remaining < 0) {
-      return candidate.service;
-    }
-  }
-  return route.services.back().service;
-}
-
 Status checkGatewayReady(const GatewayServices& services) {
   if (services.draining) {
     return makeError(ErrorCode::Draining, "this node is draining and accepts no new calls");
@@ -87,7 +66,7 @@
   }
   const RouteSettings& route = *call.route;
   OpaqueCall& opaque = call.call;
-  opaque.service = chooseService(route, hashFraction(opaque.requestId));
+  opaque.service = chooseService(route, opaque.requestId);
   opaque.resumable = route.kind == RouteKind::Streaming && route.resumable;
   opaque.idempotent = route.kind == RouteKind::Safe || opaque.resumable;
   opaque.maxAttempts = std::max(route.maxAttempts, 1U);
--- a/src/gateway/call_filters.h
+++ b/src/gateway/call_filters.h
@@ -61,7 +61,4 @@
   GatewayServices& services_;
 };
 
-/// Chooses a service of @p route by weight; @p fraction is in [0, 1).
-const std::string& chooseService(const RouteSettings& route, double fraction);
-
 }  // namespace shedshed
--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -1,10 +1,9 @@
 #include "gateway/item_runner.h"
 
-#include "gateway/call_filters.h"
 #include "gateway/event_splitter.h"
 #include "gateway/item_retry_policy.h"
+#include "gateway/service_choice.h"
 #include "kernel/message.h"
-#include "kernel/rendezvous.h"
 #include "register/freshness_proof.h"
 
 #include <boost/asio/spawn.hpp>
@@ -75,20 +74,29 @@
 
 }  // namespace
 
-Result<std::string> OpaqueItemRunner::modelOf(const std::string& body, Time acceptedBefore) const {
+Result<ItemTarget> OpaqueItemRunner::targetOf(const std::string& body, Time acceptedBefore) const {
   const Result<BatchItemCall> item = decodeRecord<BatchItemCall>(body);
   if (!item) {
-    return std::string();
+    return ItemTarget{};
   }
   const auto settings = services_.settings.read();
   const auto route = findRoute(settings, item.value().route, acceptedBefore);
   if (route) {
-    return route.value()->services.front().service;
+    return ItemTarget{chooseService(*route.value(), item.value().name)};
   }
   if (route.error().code == ErrorCode::NotReady) {
     return route.error();
   }
-  return std::string();
+  return ItemTarget{};
+}
+
+std::uint64_t OpaqueItemRunner::targetsVersion() {
+  auto settings = services_.settings.read();
+  if (settings != targetSettings_) {
+    targetSettings_ = std::move(settings);
+    ++targetsVersion_;
+  }
+  return targetsVersion_;
 }
 
 Result<const RouteSettings*>
@@ -130,15 +138,25 @@
   if (!route) {
     return route.error();
   }
-  opaque.service =
-      chooseService(*route.value(), static_cast<double>(hash64(item.name) % 1024) / 1024);
+  opaque.service = chooseService(*route.value(), item.name);
+  if (opaque.service != call.model) {
+    return makeError(ErrorCode::NotReady, "the route " + item.route + " leads to " +
+                                              opaque.service + " by now, not to " + call.model);
+  }
   opaque.maxAttempts = std::max(route.value()->maxAttempts, 1U);
+  prepared.route = std::move(item.route);
   if (route.value()->maxWait > Duration{0}) {
     prepared.giveUpAt = call.acceptedBefore + route.value()->maxWait;
   }
   return prepared;
 }
 
+bool OpaqueItemRunner::isTargetCurrent(const PreparedItem& item) const {
+  const auto settings = services_.settings.read();
+  const RouteSettings* route = settings == nullptr ? nullptr : settings->routes().find(item.route);
+  return route != nullptr && chooseService(*route, item.call.requestId) == item.call.service;
+}
+
 void OpaqueItemRunner::run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) {
   const ServingStrand strand(services_.io.get_executor());
   auto body = [this, strand, call = std::move(call),
@@ -163,7 +181,7 @@
   ForwardedCall forwarded{opaque, sink, noAbort, strand};
   ItemRetryPolicy retries(opaque.maxAttempts, call.failedAttempts);
   std::set<std::string> attemptedEngines;
-  while (call.isWanted()) {
+  while (call.isWanted() && isTargetCurrent(prepared.value())) {
     const UpstreamAttempt attempt =
         services_.forwarder.attempt(forwarded, opaque, attemptedEngines, kIdleTimeout, yield);
     if (attempt.noEngineLeft && !attemptedEngines.empty()) {
--- a/tests/batch/batch_fleet.h
+++ b/tests/batch/batch_fleet.h
@@ -125,14 +125,27 @@
     }
     return maximum;
   }
-  Result<std::string> modelOf(const std::string& body, Time acceptedBefore) const override {
+  Result<ItemTarget> targetOf(const std::string& body, Time acceptedBefore) const override {
     if (modelsUndecided) {
       return makeError(ErrorCode::NotReady);
     }
-    return EngineRunner::modelOf(body, acceptedBefore);
+    Result<ItemTarget> target = EngineRunner::targetOf(body, acceptedBefore);
+    const auto moved = movedModels.find(target.value().model);
+    if (moved != movedModels.end()) {
+      target.value().model = moved->second;
+    }
+    return target;
+  }
+  std::uint64_t targetsVersion() override { return version; }
+  /// Sends the items of @p model to @p destination from now on, as a change of the settings does.
+  void move(const std::string& model, const std::string& destination) {
+    movedModels[model] = destination;
+    ++version;
   }
   bool holdAnswers = false;
-  bool modelsUndecided = false;  ///< `modelOf` fails with `NotReady`.
+  bool modelsUndecided = false;  ///< `targetOf` fails with `NotReady`.
+  std::map<std::string, std::string> movedModels;
+  std::uint64_t version = 0;
   std::optional<Error> fail;
   std::map<std::string, int> runs;
   Time lastRun{};
@@ -185,9 +198,10 @@
  public:
   explicit ProcessEngines(FakeEngines& engines) : engines_(engines) {}
   ~ProcessEngines() override { *alive_ = false; }
-  Result<std::string> modelOf(const std::string& body, Time acceptedBefore) const override {
-    return engines_.modelOf(body, acceptedBefore);
+  Result<ItemTarget> targetOf(const std::string& body, Time acceptedBefore) const override {
+    return engines_.targetOf(body, acceptedBefore);
   }
+  std::uint64_t targetsVersion() override { return engines_.targetsVersion(); }
   void run(EngineCall call, std::function<void(Result<EngineAnswer>)> done) override {
     engines_.run(std::move(call),
                  [alive = alive_, done = std::move(done)](Result<EngineAnswer> answer) {
--- a/tests/batch/item_slots_test.cpp
+++ b/tests/batch/item_slots_test.cpp
@@ -78,6 +78,34 @@
   BOOST_TEST(fleet.status(id).value().pending == 50U);
 }
 
+// Regression: waiting items kept requesting slots of the service to which their route had led when
+// they were fetched, also after its engines had left.
+BOOST_AUTO_TEST_CASE(items_that_wait_while_their_route_moves_never_run) {
+  BatchFleet fleet;
+  fleet.slots.fullPoolKeys = {"m"};
+  const std::string id = fleet.accepted(BatchFleet::batchOf(40));
+  fleet.harness.advance(5s);
+  BOOST_TEST(fleet.status(id).value().pending == 40U);
+  fleet.engines.move("m", "moved");
+  fleet.harness.advance(3s);
+  BOOST_TEST(fleet.status(id).value().done == 40U);
+  BOOST_TEST(fleet.slots.requests.back().second.limits.back().pool.key == "moved");
+}
+
+// Regression: a run requested a share of each service's slots for the items of all services.
+BOOST_AUTO_TEST_CASE(a_run_requests_a_share_for_the_items_of_that_service_only) {
+  BatchRun run;
+  run.waiting.add({1, {"m"}, 0, "body", {}});
+  run.waiting.add({2, {"other"}, 0, "body", {}});
+  run.waiting.requeue({3, {"m"}, 0, "body", {}});
+  run.items[4].target = {"m"};
+  run.items[5].target = {"m"};
+  run.items[5].phase = AttemptPhase::Reporting;
+  run.items[6].target = {"other"};
+  BOOST_TEST(ItemSlots::requestedSlots(run, "m") == 3U);
+  BOOST_TEST(ItemSlots::requestedSlots(run, "other") == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(twoBatchesShareThePool) {
   BatchFleet fleet;
   fleet.slots.capacity = 8;
--- a/tests/batch/waiting_items_test.cpp
+++ b/tests/batch/waiting_items_test.cpp
@@ -11,7 +11,7 @@
 const Time kStart{};
 
 WaitingItem itemAt(std::uint64_t position, const std::string& model = "m", Time notBefore = {}) {
-  return {position, model, "body", notBefore};
+  return {position, {model}, 0, "body", notBefore};
 }
 
 bool any(const WaitingItem&) {
@@ -35,7 +35,8 @@
   WaitingItems items;
   items.add(itemAt(1, "full"));
   items.add(itemAt(2, "free"));
-  const auto taken = items.takeFirst([](const WaitingItem& item) { return item.model == "free"; });
+  const auto taken =
+      items.takeFirst([](const WaitingItem& item) { return item.target.model == "free"; });
   BOOST_TEST(taken->position == 2U);
   BOOST_TEST(items.contains(1));
   BOOST_TEST(!items.contains(2));
--- a/tests/gateway/item_runner_fixture.h
+++ b/tests/gateway/item_runner_fixture.h
@@ -39,6 +39,18 @@
     settings.publish(std::make_shared<SettingsTree>(std::move(tree.value())));
   }
 
+  /// Publishes the route "r" with the JSON array @p split of services "s", "next" and "other".
+  void publishSplit(const std::string& split) {
+    const std::string json =
+        R"({"services":{"s":{},"next":{},"other":{}},"routes":{"r":{"host":"h",)"
+        R"("path_prefix":"/b/","kind":"batch","timeout_ms":5000,"max_wait_s":40,)"
+        R"("max_attempts":3,"traffic_split":)" +
+        split + "}}}";
+    auto tree = SettingsTree::parse(json);
+    BOOST_REQUIRE_MESSAGE(tree, "the settings were rejected");
+    settings.publish(std::make_shared<SettingsTree>(std::move(tree.value())));
+  }
+
   static std::string itemBody(const std::string& name) {
     BatchItemCall item;
     item.name = name;
@@ -56,7 +68,10 @@
     call.body = itemBody(name);
     call.acceptedBefore = acceptedBefore;
     call.failedAttempts = failedAttempts;
-    call.onAttempt = [this](const EngineAttempt& attempt) { attempts.push_back(attempt); };
+    call.onAttempt = [this](const EngineAttempt& attempt) {
+      attempts.push_back(attempt);
+      afterAttempt();
+    };
     std::optional<Result<EngineAnswer>> result;
     items.run(std::move(call),
               [&result](Result<EngineAnswer> answer) { result.emplace(std::move(answer)); });
@@ -86,6 +101,7 @@
   Time acceptedBefore = executor.now();
   std::uint32_t failedAttempts = 0;
   std::vector<EngineAttempt> attempts;
+  std::function<void()> afterAttempt = [] {};
 };
 
 }  // namespace shedshed::test
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -66,10 +66,10 @@
     BOOST_REQUIRE(answer.has_error());
     BOOST_TEST((answer.error().code == ErrorCode::NotReady));
     BOOST_TEST((answer.error().ran == Ran::No));
-    const auto model =
-        fixture.items.modelOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
-    BOOST_REQUIRE(model.has_error());
-    BOOST_TEST((model.error().code == ErrorCode::NotReady));
+    const auto target =
+        fixture.items.targetOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
+    BOOST_REQUIRE(target.has_error());
+    BOOST_TEST((target.error().code == ErrorCode::NotReady));
   }
   BOOST_TEST(fixture.engine.received.empty());
 }
@@ -81,9 +81,9 @@
   const auto answer = fixture.run();
   BOOST_REQUIRE(answer.has_error());
   BOOST_TEST((answer.error().code == ErrorCode::InvalidArgument));
-  const auto model =
-      fixture.items.modelOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
-  BOOST_TEST(model.value().empty());
+  const auto target =
+      fixture.items.targetOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
+  BOOST_TEST(target.value().model.empty());
 }
 
 BOOST_AUTO_TEST_CASE(
@@ -130,4 +130,57 @@
   BOOST_TEST(fixture.engine.received.size() == 2U);
 }
 
+// Regression: slots were requested of the route's first service, whatever its weight.
+BOOST_AUTO_TEST_CASE(items_never_run_on_a_route_whose_first_service_has_no_weight) {
+  ItemRunnerFixture fixture;
+  fixture.publishSplit(R"([{"service":"next","weight":0},{"service":"s","weight":100}])");
+  const auto target =
+      fixture.items.targetOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
+  BOOST_TEST(target.value().model == "s");
+  BOOST_TEST(fixture.run().value().status == 200);
+}
+
+// Regression: an item requested slots of one service of a split and ran on another.
+BOOST_AUTO_TEST_CASE(items_of_a_split_run_on_the_service_whose_slots_they_hold) {
+  ItemRunnerFixture fixture;
+  fixture.publishSplit(R"([{"service":"next","weight":50},{"service":"s","weight":50}])");
+  std::set<std::string> models;
+  for (int number = 0; number < 40; ++number) {
+    const std::string name = "item-" + std::to_string(number);
+    const std::string body = ItemRunnerFixture::itemBody(name);
+    const std::string model = fixture.items.targetOf(body, fixture.acceptedBefore).value().model;
+    models.insert(model);
+    const auto answer = fixture.run(name);  // Holds slots of "s".
+    BOOST_TEST(answer.has_value() == (model == "s"));
+    BOOST_TEST((answer.has_value() || answer.error().code == ErrorCode::NotReady));
+  }
+  BOOST_TEST(models.size() == 2U);
+}
+
+// Regression: an item ran on the service that its route had led to when it was fetched.
+BOOST_AUTO_TEST_CASE(an_item_whose_route_has_moved_does_not_run_with_slots_of_the_old_service) {
+  ItemRunnerFixture fixture;
+  const std::uint64_t version = fixture.items.targetsVersion();
+  fixture.publishSplit(R"([{"service":"other","weight":1}])");
+  BOOST_TEST(fixture.items.targetsVersion() != version);
+  const auto answer = fixture.run();
+  BOOST_REQUIRE(answer.has_error());
+  BOOST_TEST((answer.error().code == ErrorCode::NotReady));
+  BOOST_TEST((answer.error().ran == Ran::No));
+  BOOST_TEST(fixture.engine.received.empty());
+}
+
+// Regression: further attempts went to the service that the route had led to at the first one.
+BOOST_AUTO_TEST_CASE(an_item_whose_route_moves_between_two_attempts_leaves_the_old_service) {
+  ItemRunnerFixture fixture;
+  fixture.engine.script = {{500}, {500}, {500}};
+  fixture.afterAttempt = [&fixture] {
+    fixture.publishSplit(R"([{"service":"other","weight":1}])");
+  };
+  const auto answer = fixture.run();
+  BOOST_REQUIRE(answer.has_error());
+  BOOST_TEST((answer.error().ran == Ran::Unknown));
+  BOOST_TEST(fixture.engine.received.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
