Batch: an item that gets no slots or is refused by every engine is given up after max_wait_s

What callers would see (LOST): an accepted item that no pool grants slots to, or that every engine answers with "not run" (for example because it is larger than an engine's memory), was never listed, however long its batch job stayed open. Cause: max_wait_s was looked at only after an answer of an engine that decides nothing, inside one call; a refusal and a wait for slots had no end. Change: an item's target says when it is to be given up. From then on the runner starts it without slots and lists it as failed with `deadline_exceeded`; a requeued item returns at that time. Counter `batch_items_given_up_total`. Why it works: whatever holds an item up, it returns to the runner's queue, and there the time decides before slots are requested. It counts from the assignment of the run, later than the batch's acceptance, so never too early; a new run counts anew. Test, fails with the old logic put back: items_without_slots_are_not_listed_after_their_ longest_wait. items_that_every_engine_refuses_are_not_listed_after_their_longest_wait is its companion for refusals by engines.

--- a/src/batch/item_executor.cpp
+++ b/src/batch/item_executor.cpp
@@ -29,10 +29,9 @@
       return;
     }
     updateTargets(*run);
-    // An item without a model needs no slots.
     const Time now = context_.now();
     std::optional<WaitingItem> next = run->waiting.takeFirst([run, now](const WaitingItem& item) {
-      return item.target.model.empty() || run->admissions[item.target.model].mayRequest(now);
+      return !item.mayRun(now) || run->admissions[item.target.model].mayRequest(now);
     });
     if (!next) {
       fetcher_.fetch(key, *run);
@@ -58,14 +57,14 @@
 }
 
 void ItemExecutor::beginItem(const RunKey& key, BatchRun& run, WaitingItem next) {
+  const bool mayRun = next.mayRun(context_.now());
   ItemAttempt& item = run.items[next.position];
   item.attempt = nextAttempt_++;
   item.body = std::move(next.body);
   item.target = std::move(next.target);
   item.targetsVersion = next.targetsVersion;
   ++itemsInFlight_;
-  if (item.target.model.empty()) {
-    // The item can only fail. It needs no engine and therefore no slots.
+  if (!mayRun) {
     requestStart(key, run, next.position);
     return;
   }
@@ -168,8 +167,8 @@
 void ItemExecutor::callEngine(const RunKey& key, BatchRun& run, std::uint64_t position) {
   ItemAttempt& item = run.items[position];
   item.phase = AttemptPhase::Running;
-  if (item.target.model.empty()) {
-    finishItem(key, run, position, ItemState::Failed, {}, ErrorCode::InvalidArgument);
+  if (!item.grant) {
+    failWithoutEngine(key, run, position);
     return;
   }
   run.histories[position].callStarted();
@@ -197,6 +196,15 @@
   });
 }
 
+void ItemExecutor::failWithoutEngine(const RunKey& key, BatchRun& run, std::uint64_t position) {
+  const bool hasTarget = !run.items[position].target.model.empty();
+  if (hasTarget) {
+    context_.counters().add("batch_items_given_up_total");
+  }
+  finishItem(key, run, position, ItemState::Failed, {},
+             hasTarget ? ErrorCode::DeadlineExceeded : ErrorCode::InvalidArgument);
+}
+
 void ItemExecutor::onAnswer(const RunKey& key, std::uint64_t position, std::uint64_t attempt,
                             Result<EngineAnswer> answer) {
   BatchRun* run = runs_.find(key);
--- a/src/batch/item_executor.h
+++ b/src/batch/item_executor.h
@@ -54,6 +54,8 @@
   void requestStart(const RunKey& key, BatchRun& run, std::uint64_t position);
   void revertUnknownStart(const RunKey& key, const StartReply& reply);
   void callEngine(const RunKey& key, BatchRun& run, std::uint64_t position);
+  /// Ends an item that no engine can run, or that is given up: it holds no slots.
+  void failWithoutEngine(const RunKey& key, BatchRun& run, std::uint64_t position);
   void onAnswer(const RunKey& key, std::uint64_t position, std::uint64_t attempt,
                 Result<EngineAnswer> answer);
   void onEngineError(const RunKey& key, BatchRun& run, std::uint64_t position, const Error& error);
--- a/src/batch/waiting_items.cpp
+++ b/src/batch/waiting_items.cpp
@@ -38,7 +38,7 @@
 
 void WaitingItems::returnDueItems(Time now) {
   for (auto item = requeued_.begin(); item != requeued_.end();) {
-    if (now < item->notBefore) {
+    if (now < item->notBefore && item->mayRun(now)) {
       ++item;
       continue;
     }
--- a/src/batch/waiting_items.h
+++ b/src/batch/waiting_items.h
@@ -21,6 +21,10 @@
   std::uint64_t targetsVersion = 0;  ///< `EngineRunner::targetsVersion` that `target` is based on.
   std::string body;
   Time notBefore{};  ///< Earliest time of the next slot request, for a requeued item.
+
+  /// False if the item can only be listed as failed, for which it needs neither slots nor an
+  /// engine.
+  bool mayRun(Time now) const { return !target.model.empty() && now < target.giveUpAt; }
 };
 
 /// Queue of items in batch order, and a separate list of items whose slot request was rejected and
@@ -39,7 +43,8 @@
   void updateTargets(std::uint64_t targetsVersion,
                      const std::function<Result<ItemTarget>(const std::string&)>& targetOf);
 
-  /// Moves requeued items whose delay has elapsed to the front of the queue.
+  /// Moves requeued items to the front of the queue whose delay has elapsed or which may not run
+  /// any more.
   void returnDueItems(Time now);
 
   /// Removes and returns the first queued item for which @p admitted returns true.
--- a/src/engines/engine_runner.h
+++ b/src/engines/engine_runner.h
@@ -25,6 +25,7 @@
 struct ItemTarget {
   std::string
       model;  ///< Model, or service of the item's route; empty if no engine can ever run it.
+  Time giveUpAt = Time::max();  ///< From then on an unfinished item is to be listed as failed.
 };
 
 /// One batch item's call.
--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -45,6 +45,11 @@
   return described;
 }
 
+/// When an item of @p route may be listed as failed although no engine has failed it for good.
+Time giveUpTime(const RouteSettings& route, Time acceptedBefore) {
+  return route.maxWait > Duration{0} ? acceptedBefore + route.maxWait : Time::max();
+}
+
 /// True for an answer that is neither a success nor a failed attempt.
 bool isUndecidedAnswer(const UpstreamAttempt& attempt) {
   return attempt.outcome == AttemptOutcome::Answered && !isFailedAttempt(attempt.head.status);
@@ -82,7 +87,8 @@
   const auto settings = services_.settings.read();
   const auto route = findRoute(settings, item.value().route, acceptedBefore);
   if (route) {
-    return ItemTarget{chooseService(*route.value(), item.value().name)};
+    return ItemTarget{chooseService(*route.value(), item.value().name),
+                      giveUpTime(*route.value(), acceptedBefore)};
   }
   if (route.error().code == ErrorCode::NotReady) {
     return route.error();
@@ -145,9 +151,7 @@
   }
   opaque.maxAttempts = std::max(route.value()->maxAttempts, 1U);
   prepared.route = std::move(item.route);
-  if (route.value()->maxWait > Duration{0}) {
-    prepared.giveUpAt = call.acceptedBefore + route.value()->maxWait;
-  }
+  prepared.giveUpAt = giveUpTime(*route.value(), call.acceptedBefore);
   return prepared;
 }
 
--- a/src/gateway/item_runner.h
+++ b/src/gateway/item_runner.h
@@ -20,8 +20,9 @@
 /// it is about to request slots and before each attempt. If the route leads elsewhere by then, the
 /// call ends and the item is to be run again.
 ///
-/// An item whose answers are neither a success nor a failed attempt is given up after the `maxWait`
-/// of its route, counted from the moment at which this node learned of the batch.
+/// An item is given up after the `maxWait` of its route, counted from the moment at which this node
+/// learned of the batch, whether it waits for slots, every engine rejects it, or its answers are
+/// neither a success nor a failed attempt.
 class OpaqueItemRunner : public EngineRunner {
  public:
   explicit OpaqueItemRunner(GatewayServices& services) : services_(services) {}
--- a/tests/batch/batch_fleet.h
+++ b/tests/batch/batch_fleet.h
@@ -134,6 +134,8 @@
     if (moved != movedModels.end()) {
       target.value().model = moved->second;
     }
+    target.value().giveUpAt =
+        giveUpAfter == Duration{0} ? Time::max() : acceptedBefore + giveUpAfter;
     return target;
   }
   std::uint64_t targetsVersion() override { return version; }
@@ -146,6 +148,7 @@
   bool modelsUndecided = false;  ///< `targetOf` fails with `NotReady`.
   std::map<std::string, std::string> movedModels;
   std::uint64_t version = 0;
+  Duration giveUpAfter{0};  ///< After this time an item is given up; 0: never.
   std::optional<Error> fail;
   std::map<std::string, int> runs;
   Time lastRun{};
--- a/tests/batch/item_slots_test.cpp
+++ b/tests/batch/item_slots_test.cpp
@@ -92,6 +92,32 @@
   BOOST_TEST(fleet.slots.requests.back().second.limits.back().pool.key == "moved");
 }
 
+// Regression: an item that got no slots was never listed, however long it had waited.
+BOOST_AUTO_TEST_CASE(items_without_slots_are_not_listed_after_their_longest_wait) {
+  BatchFleet fleet;
+  fleet.slots.capacity = 0;
+  fleet.engines.giveUpAfter = 40s;
+  const std::string id = fleet.accepted(BatchFleet::batchOf(100));
+  fleet.harness.advance(39s);
+  BOOST_TEST(fleet.status(id).value().pending == 100U);
+  fleet.harness.advance(5s);
+  BOOST_REQUIRE(fleet.status(id).value().failed == 100U);
+  BOOST_TEST(fleet.page(id, 0, 1).results.front().errorType == "deadline_exceeded");
+  BOOST_TEST(fleet.engines.runs.empty());
+}
+
+// Regression: an item that every engine refused was sent to engines for ever.
+BOOST_AUTO_TEST_CASE(items_that_every_engine_refuses_are_not_listed_after_their_longest_wait) {
+  BatchFleet fleet;
+  fleet.engines.fail = makeError(ErrorCode::NoEngine, "no engine ran the item", Ran::No);
+  fleet.engines.giveUpAfter = 40s;
+  const std::string id = fleet.accepted(BatchFleet::batchOf(20));
+  fleet.harness.advance(39s);
+  BOOST_TEST(fleet.status(id).value().failed == 0U);
+  fleet.harness.advance(8s);
+  BOOST_TEST(fleet.status(id).value().failed == 20U);
+}
+
 // Regression: a run requested a share of each service's slots for the items of all services.
 BOOST_AUTO_TEST_CASE(a_run_requests_a_share_for_the_items_of_that_service_only) {
   BatchRun run;
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -130,6 +130,13 @@
   BOOST_TEST(fixture.engine.received.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(the_target_of_an_item_says_when_it_is_given_up) {
+  ItemRunnerFixture fixture;
+  const auto target =
+      fixture.items.targetOf(ItemRunnerFixture::itemBody(kItem), fixture.acceptedBefore);
+  BOOST_TEST((target.value().giveUpAt == fixture.acceptedBefore + std::chrono::seconds(40)));
+}
+
 // Regression: slots were requested of the route's first service, whatever its weight.
 BOOST_AUTO_TEST_CASE(items_never_run_on_a_route_whose_first_service_has_no_weight) {
   ItemRunnerFixture fixture;
