Gateway: the headers of items pass the same filter as those of live requests

A line break in an item's header, path or id ended the request, and an engine ran a second request out of the client's bytes, with an id and a tenant of its choice. Cause: each door decided by itself what goes on to an engine. Live requests left out what the gateway sets itself; items only hop-by-hop fields. Names and values of items come out of JSON, where no HTTP parser has seen them, and were written into the request as they were. Change: `ForwardedHeaders` is the only type that a forwarded call keeps fields in, and it can't hold one that an engine takes for the gateway's word (request id, tenant, expected engine, deadline, resumed event, credentials, Host, Expect, hop-by-hop), nor bytes that end a line. Both doors fill it. Items are checked at submission (400, nothing stored) and again before they run, for batches that an earlier version has stored; the key is not stored any more. The writer of the request head refuses control characters in the method, target, host, id and tenant. Why it works: there is one place that says what reaches an engine, and no door can go past it. The test of the platform's item parser now sees all fields and checks what is left by the filter.

--- a/src/gateway/batch_dialect.h
+++ b/src/gateway/batch_dialect.h
@@ -46,7 +46,7 @@
                                                      std::string_view target) const = 0;
 
   /// Parses the items of a submitted batch. Sets `name`, `target`, `headers`, `body` and `tokens`
-  /// of each.
+  /// of each, as the client sent them.
   virtual Result<std::vector<BatchItemCall>> parseItems(const std::string& body) const = 0;
 
   /// Formats a page of results of about @p maxBytes at most; it has at least one result if any is
--- a/src/gateway/batch_filter.cpp
+++ b/src/gateway/batch_filter.cpp
@@ -2,6 +2,7 @@
 
 #include "batch/batch_records.h"
 #include "gateway/call_filters.h"
+#include "gateway/item_request.h"
 #include "kernel/message.h"
 #include "serving/await_core.h"
 
@@ -91,6 +92,9 @@
   submission.idempotentItems = true;
   submission.route = call.route->name;
   for (BatchItemCall& item : items.value()) {
+    if (Status normalized = normalizeItem(item, services_.names); !normalized) {
+      return normalized.error();
+    }
     item.route = call.route->name;
     item.service = call.route->services.front().service;
     item.host = call.call.host;
--- a/src/gateway/downstream_session.cpp
+++ b/src/gateway/downstream_session.cpp
@@ -135,14 +135,12 @@
   return !failed;
 }
 
-void DownstreamSession::extractCall(Parser& parser, GatewayCall& call) {
+Status DownstreamSession::extractCall(Parser& parser, GatewayCall& call) {
   const HeaderNames& names = services_.names;
   auto& message = parser.get();
   OpaqueCall& opaque = call.call;
   opaque.method = std::string(toView(message.method_string()));
   opaque.target = std::string(toView(message.target()));
-  std::string_view parts;
-  std::string_view tokens;
   for (const auto& field : message.base()) {
     const std::string_view name = toView(field.name_string());
     const std::string_view value = toView(field.value());
@@ -160,20 +158,14 @@
       }
     } else if (sameHeaderName(name, names.resumeAfter)) {
       opaque.resumeAfter = std::string(value);
-    } else if (sameHeaderName(name, names.tenant) || sameHeaderName(name, names.expectedEngine) ||
-               sameHeaderName(name, "Expect") || isConnectionHeader(name)) {
-      continue;  // Set by the gateway itself, or hop-by-hop.
-    } else {
-      opaque.headers.push_back({std::string(name), std::string(value)});
-      if (sameHeaderName(name, names.promptParts)) {
-        parts = value;
-      } else if (sameHeaderName(name, names.tokenCount)) {
-        tokens = value;
-      }
+    } else if (Status added = opaque.headers.add(name, value, names); !added) {
+      return added;
     }
   }
-  opaque.prompt = parsePromptHints(parts, tokens);
+  opaque.prompt = parsePromptHints(opaque.headers.value(names.promptParts),
+                                   opaque.headers.value(names.tokenCount));
   opaque.body = std::move(message.body());
+  return okStatus();
 }
 
 bool DownstreamSession::serve(net::yield_context yield) {
@@ -194,7 +186,9 @@
   GatewayCall call(strand_, writer);
   call.arrived = services_.core.now();
   const bool keepAlive = parser.keep_alive();
-  extractCall(parser, call);
+  if (Status extracted = extractCall(parser, call); !extracted) {
+    return refuse(extracted.error(), call.call.requestId, writer, yield);
+  }
   return answer(call, writer, keepAlive, yield);
 }
 
--- a/src/gateway/downstream_session.h
+++ b/src/gateway/downstream_session.h
@@ -50,7 +50,8 @@
   /// `refusal_` if the request must be refused and the connection closed after that.
   bool readRequest(Parser& parser, const ClientLimits& limits, DownstreamWriter& writer,
                    boost::asio::yield_context yield);
-  void extractCall(Parser& parser, GatewayCall& call);
+  /// Moves the request into @p call. Fails with `InvalidArgument` if a header can't be forwarded.
+  Status extractCall(Parser& parser, GatewayCall& call);
   bool answer(GatewayCall& call, DownstreamWriter& writer, bool keepAlive,
               boost::asio::yield_context yield);
   bool refuse(const Error& error, const std::string& requestId, DownstreamWriter& writer,
--- a/src/gateway/item_runner.cpp
+++ b/src/gateway/item_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/item_runner.h"
 
 #include "gateway/event_splitter.h"
+#include "gateway/item_request.h"
 #include "gateway/item_retry_policy.h"
 #include "gateway/service_choice.h"
 #include "kernel/message.h"
@@ -20,15 +21,6 @@
 constexpr std::chrono::milliseconds kRetryBackoff{60};
 constexpr std::size_t kStackBytes = 256U << 10U;
 
-std::string headerValue(const std::vector<HeaderField>& headers, const std::string& name) {
-  for (const HeaderField& field : headers) {
-    if (sameHeaderName(field.name, name)) {
-      return field.value;
-    }
-  }
-  return {};
-}
-
 EngineAttempt describeAttempt(const OpaqueCall& call, const UpstreamAttempt& attempt) {
   EngineAttempt described;
   described.requestId = call.requestId;
@@ -125,18 +117,22 @@
     return makeError(ErrorCode::InvalidArgument, decoded.error().detail);
   }
   BatchItemCall& item = decoded.value();
+  Result<ForwardedHeaders> headers = forwardedHeadersOf(item, services_.names);
+  if (!headers) {
+    return headers.error();
+  }
   PreparedItem prepared;
   OpaqueCall& opaque = prepared.call;
   opaque.requestId = item.name;
   opaque.method = "POST";
   opaque.target = std::move(item.target);
   opaque.host = std::move(item.host);
-  opaque.headers = std::move(item.headers);
+  opaque.headers = std::move(headers.value());
   opaque.body = std::move(item.body);
   opaque.tenant = call.tenant;
   opaque.suggestedEngine = call.suggestedEngine;
-  opaque.prompt = parsePromptHints(headerValue(opaque.headers, services_.names.promptParts),
-                                   headerValue(opaque.headers, services_.names.tokenCount));
+  opaque.prompt = parsePromptHints(opaque.headers.value(services_.names.promptParts),
+                                   opaque.headers.value(services_.names.tokenCount));
   opaque.resumable = true;
   opaque.idempotent = true;
   const auto settings = services_.settings.read();
--- a/src/gateway/opaque_call.cpp
+++ b/src/gateway/opaque_call.cpp
@@ -1,17 +1,11 @@
 #include "gateway/opaque_call.h"
 
 #include <algorithm>
-#include <array>
-#include <cctype>
 #include <charconv>
 
 namespace shedshed {
 namespace {
 
-constexpr std::array<std::string_view, 9> kConnectionHeaders = {
-    "connection", "keep-alive",        "proxy-connection", "proxy-authorization", "te",
-    "trailer",    "transfer-encoding", "upgrade",          "content-length"};
-
 /// Further parts of a prompt are ignored.
 constexpr std::size_t kMaxPromptParts = 64;
 
@@ -45,17 +39,4 @@
   return hints;
 }
 
-bool sameHeaderName(std::string_view left, std::string_view right) {
-  const auto same = [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) ==
-           std::tolower(static_cast<unsigned char>(b));
-  };
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), same);
-}
-
-bool isConnectionHeader(std::string_view name) {
-  return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
-                     [name](std::string_view known) { return sameHeaderName(name, known); });
-}
-
 }  // namespace shedshed
--- a/src/gateway/opaque_call.h
+++ b/src/gateway/opaque_call.h
@@ -2,23 +2,16 @@
 /// A call whose method, target, headers and body are forwarded to an engine uninterpreted.
 #pragma once
 
+#include "gateway/forwarded_headers.h"
 #include "kernel/time.h"
 
 #include <cstdint>
-#include <msgpack.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace shedshed {
 
-/// An HTTP header field.
-struct HeaderField {
-  std::string name;
-  std::string value;
-  MSGPACK_DEFINE(name, value);
-};
-
 /// A part of a prompt. Calls may share all parts but the last, which is the call's own.
 struct PromptPart {
   std::string id;
@@ -41,7 +34,7 @@
   std::string method;
   std::string target;
   std::string host;
-  std::vector<HeaderField> headers;  ///< Without hop-by-hop headers and those set by the gateway.
+  ForwardedHeaders headers;
   std::string body;
   std::string tenant;   ///< Empty if the call has none.
   std::string service;  ///< Only engines of this service may run the call.
@@ -55,10 +48,4 @@
   std::string resumeAfter;      ///< Last event id received by the caller; empty for a new stream.
 };
 
-/// Returns true for hop-by-hop headers (RFC 9110, 7.6.1) and for `Content-Length`.
-bool isConnectionHeader(std::string_view name);
-
-/// Compares header names, ignoring case.
-bool sameHeaderName(std::string_view left, std::string_view right);
-
 }  // namespace shedshed
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -1,8 +1,10 @@
 #include "gateway/upstream_connection.h"
 
+#include "gateway/http_syntax.h"
 #include "wire/tcp_endpoint.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdlib>
@@ -33,6 +35,18 @@
   text.append(name).append(": ").append(value).append("\r\n");
 }
 
+/// Checks the texts of a request head that come from outside. Header fields are checked by
+/// `ForwardedHeaders`.
+Status checkRequestHead(const OpaqueCall& call) {
+  const std::array<std::string_view, 4> values = {call.host, call.requestId, call.tenant,
+                                                  call.resumeAfter};
+  const bool valid = isFieldName(call.method) && isOriginFormTarget(call.target) &&
+                     std::all_of(values.begin(), values.end(), isFieldValue);
+  return valid ? okStatus()
+               : makeError(ErrorCode::InvalidArgument,
+                           "the request has control characters in its head", Ran::No);
+}
+
 std::string requestText(const OpaqueCall& call, const HeaderNames& names,
                         const std::string& engineId, Duration timeLeft) {
   std::string text;
@@ -125,6 +139,9 @@
   if (abort.aborted()) {
     return makeError(ErrorCode::Cancelled, "the client has disconnected", Ran::No);
   }
+  if (Status checked = checkRequestHead(call); !checked) {
+    return checked;
+  }
   const CallAbort::Scope scope(abort, [this]() { close(); });
   SocketDeadline deadline(strand, socket_);
   const std::string text = requestText(call, names_, engineId, timeLeft);
--- a/tests/gateway/item_runner_fixture.h
+++ b/tests/gateway/item_runner_fixture.h
@@ -51,21 +51,25 @@
     settings.publish(std::make_shared<SettingsTree>(std::move(tree.value())));
   }
 
-  static std::string itemBody(const std::string& name) {
+  static BatchItemCall itemCall(const std::string& name) {
     BatchItemCall item;
     item.name = name;
     item.route = "r";
-    item.service = "s";
     item.host = "h";
     item.target = "/b/1";
-    return encodeRecord(item);
+    return item;
   }
 
+  static std::string itemBody(const std::string& name) { return encodeRecord(itemCall(name)); }
+
   /// Runs an item once, as one call of the batch runner.
-  Result<EngineAnswer> run(const std::string& name = kItem) {
+  Result<EngineAnswer> run(const std::string& name = kItem) { return run(itemCall(name)); }
+
+  Result<EngineAnswer> run(const BatchItemCall& item) {
     EngineCall call;
     call.model = "s";
-    call.body = itemBody(name);
+    call.tenant = "acme";
+    call.body = encodeRecord(item);
     call.acceptedBefore = acceptedBefore;
     call.failedAttempts = failedAttempts;
     call.onAttempt = [this](const EngineAttempt& attempt) {
--- a/tests/gateway/item_runner_test.cpp
+++ b/tests/gateway/item_runner_test.cpp
@@ -190,4 +190,55 @@
   BOOST_TEST(fixture.engine.received.size() == 1U);
 }
 
+// Regression: an item's headers were written before those that the gateway sets, whatever they
+// said.
+BOOST_AUTO_TEST_CASE(
+    engine_received_the_clients_key_and_another_tenant_from_the_headers_of_an_item) {
+  ItemRunnerFixture fixture;
+  BatchItemCall item = ItemRunnerFixture::itemCall(kItem);
+  item.headers = {{"Authorization", "Bearer secret"},
+                  {"x-tenant", "mallory"},
+                  {"X-Request-Id", "other"},
+                  {"X-Engine", "e9"},
+                  {"Last-Event-Id", "7"},
+                  {"X-Deadline-Ms", "1"},
+                  {"Host", "elsewhere"},
+                  {"Transfer-Encoding", "chunked"},
+                  {"Content-Length", "0"},
+                  {"X-Token-Count", "5,7"}};
+  const auto answer = fixture.run(item);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer.value().status == 200);
+  BOOST_REQUIRE(fixture.engine.received.size() == 1U);
+  const ScriptedEngine::Received& received = fixture.engine.received.front();
+  using Values = std::vector<std::string>;
+  BOOST_TEST(received.values("Authorization") == Values{});
+  BOOST_TEST(received.values("X-Tenant") == Values{"acme"});
+  BOOST_TEST(received.values("X-Request-Id") == Values{kItem});
+  BOOST_TEST(received.values("X-Engine") == Values{"e0"});
+  BOOST_TEST(received.values("Last-Event-Id") == Values{});
+  BOOST_TEST(received.values("X-Deadline-Ms") == Values{});
+  BOOST_TEST(received.values("Host") == Values{"h"});
+  BOOST_TEST(received.values("Transfer-Encoding") == Values{});
+  BOOST_TEST(received.values("X-Token-Count") == Values{"5,7"});
+}
+
+// Regression: a line break in an item ended its request, and an engine ran what stood behind it.
+BOOST_AUTO_TEST_CASE(engine_ran_a_second_request_from_a_line_break_in_an_item) {
+  const std::string second = "x\r\n\r\nPOST /b/2 HTTP/1.1\r\nX-Request-Id: stolen\r\n\r\n";
+  std::vector<BatchItemCall> items(4, ItemRunnerFixture::itemCall(kItem));
+  items[0].headers = {{"X-A", second}};
+  items[1].headers = {{second, "value"}};
+  items[2].target = "/b/1 HTTP/1.1\r\nX-A: " + second;
+  items[3].name = second;
+  for (const BatchItemCall& item : items) {
+    ItemRunnerFixture fixture;
+    const auto answer = fixture.run(item);
+    BOOST_REQUIRE(answer.has_error());
+    BOOST_TEST((answer.error().code == ErrorCode::InvalidArgument));
+    BOOST_TEST((answer.error().ran == Ran::No));
+    BOOST_TEST(fixture.engine.received.empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/scripted_engine.h
+++ b/tests/gateway/scripted_engine.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace shedshed::test {
@@ -38,6 +39,19 @@
   struct Received {
     std::size_t connection = 0;  ///< Index, from 0.
     std::string requestId;
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> fields;  ///< Names and values.
+
+    /// The values of all fields @p name, in their order.
+    std::vector<std::string> values(const std::string& name) const {
+      std::vector<std::string> found;
+      for (const auto& [fieldName, value] : fields) {
+        if (boost::beast::iequals(fieldName, name)) {
+          found.push_back(value);
+        }
+      }
+      return found;
+    }
   };
 
   ScriptedEngine(ServingIoContext& io, HeaderNames names)
@@ -81,7 +95,11 @@
       if (failed) {
         return;
       }
-      received.push_back({number, std::string(request[names_.requestId])});
+      received.push_back(
+          {number, std::string(request[names_.requestId]), std::string(request.target()), {}});
+      for (const auto& field : request) {
+        received.back().fields.emplace_back(field.name_string(), field.value());
+      }
       ScriptedReply reply;
       if (!script.empty()) {
         reply = script.front();
--- a/tests/platform/batch_api_test.cpp
+++ b/tests/platform/batch_api_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/batch_api.h"
 
+#include "gateway/item_request.h"
+#include "platform/header_names.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace shedshed;
@@ -41,8 +44,12 @@
   const BatchItemCall& item = items.value().front();
   BOOST_TEST(item.name == "e5");
   BOOST_TEST(item.body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
-  BOOST_REQUIRE_EQUAL(item.headers.size(), 1U);
+  BOOST_REQUIRE_EQUAL(item.headers.size(), 2U);
   BOOST_TEST(item.headers[0].value == "1");
+  BatchItemCall normalized = item;
+  BOOST_TEST(normalizeItem(normalized, platform::headerNames()).has_value());
+  BOOST_REQUIRE_EQUAL(normalized.headers.size(), 1U);
+  BOOST_TEST(normalized.headers[0].value == "1");
   BOOST_TEST(item.tokens == 940U);
 }
 
