Batch: a batch that is sent again after its route has moved is the same batch

Nothing read the stored service. Why it works: the content of a batch is what the client sent, and its route.

--- a/src/gateway/batch_dialect.h
+++ b/src/gateway/batch_dialect.h
@@ -26,7 +26,7 @@
 struct BatchItemCall {
   std::string name;
   std::string route;    ///< Name of the route on which the batch was submitted.
-  std::string service;  ///< Service of that route at submission.
+  std::string service;  ///< Empty; earlier versions stored a service of the route. Not read.
   std::string host;
   std::string target;
   std::vector<HeaderField> headers;
--- a/src/gateway/batch_filter.cpp
+++ b/src/gateway/batch_filter.cpp
@@ -96,7 +96,6 @@
       return normalized.error();
     }
     item.route = call.route->name;
-    item.service = call.route->services.front().service;
     item.host = call.call.host;
     submission.names.push_back(item.name);
     submission.tokens.push_back(item.tokens);
