--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -513,6 +513,7 @@
 
 def run(case, folder):
     """Runs the coroutine function @p case(record, trouble); returns the exit code of the script."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # Ends the processes then, too.
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
@@ -521,7 +522,7 @@
         record.write(f"cannot run: {reason}")
         print(f"cannot run: {reason}")
         return 2
-    except Exception as failure:  # pylint: disable=broad-except
+    except (Exception, KeyboardInterrupt) as failure:  # pylint: disable=broad-except
         record.write(f"cannot run: {failure!r}")
         print(f"cannot run: {failure!r}")
         return 2
