review 7: count only requests that a front in touch closed without an answer

Cause: the check counted answers that were broken off, and requests just after a restart; the rule doesn't.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,26 +4,30 @@
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 
-from fleet import CLIENT_PORT, CannotRun, Client, Engine, Fleet  # noqa: E402
+from fleet import CLIENT_PORT, CLOSED, CannotRun, Client, Engine, Fleet  # noqa: E402
 from fleet import KeptConnection, Message, Operator, Platform  # noqa: E402
 from fleet import configuration, run, status_of, wait_until_ready  # noqa: E402
 
 MAX_HEADER_BYTES = 131072
 TURNS = 9
 KEPT_PER_FRONT = 2
+CONTACT_S = 3.0
 
 
 class Others:
-    """Clients with kept connections to one front; count the requests that were run and cut."""
+    """Clients with kept connections to one front; count the requests that an engine has run and
+    that the front, which was in touch, has closed without an answer."""
 
     def __init__(self, front, client, engines, record):
         self.front = front
         self.client = client
         self.engines = engines
         self.record = record
+        self.started = time.monotonic()
         self.lost = 0
         self.sent = 0
 
@@ -39,7 +43,8 @@
             if isinstance(answer, Message):
                 continue
             self.record.write(f"{self.front.name}: {request_id} on a kept connection: {answer}")
-            if self.has_run(request_id):
+            in_touch = time.monotonic() - self.started >= CONTACT_S
+            if answer == CLOSED and in_touch and self.has_run(request_id):
                 self.lost += 1
             await asyncio.sleep(0.1)
 
@@ -87,6 +92,7 @@
             ends[front.name] += 1
             record.write(f"{front.name} ended by itself with {front.process.returncode}")
             front.start()
+            others[turn % len(others)].started = time.monotonic()
             await wait_until_ready([front])
         await asyncio.sleep(1)
     for task in tasks:
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -25,6 +25,7 @@
 CONTROL_PORT = 8683
 FIRST_PORT = 7360
 LAST_PORT = 7375
+CLOSED = "closed without an answer"
 
 
 class CannotRun(Exception):
@@ -171,12 +172,12 @@
         return self.fields.get(name.lower(), default)
 
 
-async def read_message(reader):
-    """A whole message; None if the connection ends before its first byte."""
+async def read_message(reader, first=b""):
+    """A whole message, whose bytes @p first are read; None if the connection ends before any."""
     try:
-        head = await reader.readuntil(b"\r\n\r\n")
+        head = first + await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError as ended:
-        if ended.partial:
+        if first or ended.partial:
             raise
         return None
     lines = head.decode("latin-1").split("\r\n")
@@ -208,7 +209,7 @@
             lines.append(f"Content-Length: {len(body)}")
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
             await writer.drain()
-            return await read_message(reader) or "closed without an answer"
+            return await read_message(reader) or CLOSED
         finally:
             writer.close()
 
@@ -238,12 +239,17 @@
                 return "no connection"
         lines = [f"{method} {target} HTTP/1.1"] + [f"{k}: {v}" for k, v in headers.items()]
         lines.append(f"Content-Length: {len(body)}")
+        first = b""
         try:
             self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            answer = await asyncio.wait_for(read_message(self.reader), timeout)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as failure:
-            answer = f"no whole answer: {type(failure).__name__}"
-        answer = answer or "closed without an answer"
+            first = await asyncio.wait_for(self.reader.read(1), timeout)
+            answer = CLOSED
+            if first:
+                answer = await asyncio.wait_for(read_message(self.reader, first), timeout)
+        except asyncio.TimeoutError:
+            answer = "no whole answer in time"
+        except (OSError, asyncio.IncompleteReadError):
+            answer = "broken off in the answer" if first else CLOSED
         if not isinstance(answer, Message) or answer.header("connection") == "close":
             self.close()
         return answer
